Count what stops requests, and log samples of those not served

The logs said nothing about why a request was refused. A line each two seconds now counts requests by what stopped them and attempts by how they ended; the node samples the course of unserved requests by id and logs its settings.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,6 +8,7 @@
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
     Reporting, Request, RequestId, Settings, SettingsError,
 };
+use crate::tally::{Stop, Tally};
 use std::collections::HashMap;
 
 /// Buckets of the failure window (the source keeps 16 and one in the making).
@@ -338,6 +339,7 @@
     learned: Vec<Learned>,
     keys: KeyCounts,
     admission: Admission,
+    tally: Tally,
     /// Share of recent attempts, over all backends, that failed to connect or answer.
     fleet_failing: f64,
     /// Attempts that are out.
@@ -371,37 +373,7 @@
     /// Settings that cannot be run on: no class, or a figure outside its range.
     pub fn new(settings: Settings, seed: u64) -> Result<Balancer, SettingsError> {
         let s = settings;
-        if s.classes.is_empty() {
-            return Err(SettingsError::NoClass);
-        }
-        let mut figures = vec![
-            ("rules.coldMs", s.cold_ms, 0.0),
-            ("rules.fallMs", s.fall_ms, 0.0),
-            ("rules.fallMultiple", s.fall_multiple, 0.0),
-            ("rules.startCapacity", s.start_capacity, 0.0),
-            ("rules.drainGraceMs", s.drain_grace_ms, 0.0),
-            ("rules.drainCloseMs", s.drain_close_ms.unwrap_or(1.0), f64::MIN_POSITIVE),
-            ("limits.maxRetryAfterMs", s.max_retry_after_ms, 0.0),
-            ("rules.mustAskInMs", s.must_ask_in_ms, 0.0),
-            ("limits.connIdleMs", s.conn_idle_ms, 0.0),
-            ("overShareWorth", s.over_share_worth, 0.0),
-            ("tickMs", s.tick_ms, 0.0),
-            ("instances", f64::from(s.instances), 1.0),
-            ("limits.attemptsCap", f64::from(s.max_attempts), 1.0),
-        ];
-        for c in &s.classes {
-            figures.push(("classes.hardLimitMs", c.deadline_ms, f64::MIN_POSITIVE));
-            figures.push(("classes.objectiveMs", c.aim_ms, f64::MIN_POSITIVE));
-            figures.push(("classes.value", c.worth, 0.0));
-            figures.push(("classes.lateValue", c.late_worth, 0.0));
-            figures.push(("classes.keyTtlMs", c.key_ttl_ms, 0.0));
-        }
-        figures.extend(s.tenants.iter().map(|t| ("tenants.quotaRps", t.quota_rps, 0.0)));
-        if let Some((field, value, _)) =
-            figures.into_iter().find(|(_, v, least)| !v.is_finite() || v < least)
-        {
-            return Err(SettingsError::Range { field, value });
-        }
+        s.check()?;
         let (classes, tenants) = (s.classes.len(), s.tenants.len());
         Ok(Balancer {
             rng: fastrand::Rng::with_seed(seed),
@@ -422,6 +394,7 @@
                 spill: 3.0,
                 ..Admission::default()
             },
+            tally: Tally::default(),
             fleet_failing: 0.0,
             in_flight: 0,
             unconnected: 0.0,
@@ -614,6 +587,7 @@
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
         self.rest(now, seconds, out);
+        self.tell(now, out);
         for b in self.backends.iter().filter(|b| now < b.close_until) {
             out.push(Action::Release(b.id));
         }
@@ -734,6 +708,21 @@
         }
     }
 
+    /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
+    fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
+        let Some(tally) = self.tally.take(now) else { return };
+        let count = |f: &dyn Fn(&Backend) -> bool| self.backends.iter().filter(|b| b.up && f(b)).count();
+        let congested = count(&|b| b.record.congested);
+        let capped = count(&|b| b.cap.blocks(now, b.in_flight));
+        let Admission { level, strain, room, spill, .. } = self.admission;
+        let text = format!(
+            "{tally}; level {level:.2} strain {strain:.2} pressure {:.2} room {room:.2} spill {spill:.1}; \
+             congested {congested}, at cap {capped}, in flight {}",
+            self.pressure, self.in_flight
+        );
+        self.log(text, out);
+    }
+
     // ---- picking ----
 
     /// The two keyed candidates and, if both are blocked, the spill: the usable backend with the fewest
@@ -878,6 +867,7 @@
         let cost = request.effort_ms.filter(|e| e.is_finite() && *e > 0.0).unwrap_or(mean);
         let mut let_in = worth > 0.0;
         self.admission.asked_count += 1.0;
+        self.tally.ask();
         if let Some(offered) = self.admission.offered.get_mut(request.class) {
             let o = usize::from(over || age >= aim);
             offered[o] += cost;
@@ -889,7 +879,12 @@
             let room = (room + 3.0 * room.sqrt()).max(1.0) * self.admission.part[request.class][o];
             let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
             self.admission.crowded |= crowded;
-            let_in = let_in && !crowded && now >= self.admission.rest_until;
+            let rests = now < self.admission.rest_until;
+            let stops = [(Stop::Level, !let_in), (Stop::Room, crowded), (Stop::Rest, rests)];
+            if let Some((by, _)) = stops.into_iter().find(|(_, stops)| *stops) {
+                self.tally.stop(by);
+                let_in = false;
+            }
         }
         if let Some(key) = request.key {
             self.keys.note(mix(key));
@@ -930,6 +925,7 @@
             // chance. It counts as far as backends are blocked at large: a hot key's two are no matter of the
             // fleet.
             let worth = self.open.get(&id).map_or(0.0, |o| o.worth);
+            self.tally.stop(Stop::NoBackend);
             self.admission.bad += worth * self.admission.blocked;
             self.admission.seen += self.admission.blocked;
             self.answer(now, id, out);
@@ -1037,6 +1033,7 @@
         a.out = false;
         self.in_flight = self.in_flight.saturating_sub(1);
         a.never_ran = never_ran(&self.s, outcome);
+        self.tally.end(outcome);
         open.finished |= last;
         let (backend, timeout, trial, class) = (a.backend, a.timeout, a.trial, open.request.class);
         let in_aim = outcome == Outcome::Done && now <= open.aim_at;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,5 @@
-//! What goes into a [`Balancer`](crate::Balancer) and what comes out: settings, events and actions. No logic.
+//! What goes into a [`Balancer`](crate::Balancer) and what comes out: settings, events and actions. No logic but
+//! the check of the settings.
 //!
 //! All times are milliseconds of one monotonic clock with an arbitrary origin, handed in with each event.
 //! A host feeds [`Event`]s in the order they happened and carries out the [`Action`]s in the order given.
@@ -236,6 +237,43 @@
     },
 }
 
+impl Settings {
+    /// Whether a balancer can run on these.
+    ///
+    /// # Errors
+    /// No class, or a figure outside its range.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError::NoClass);
+        }
+        let mut figures = vec![
+            ("rules.coldMs", self.cold_ms, 0.0),
+            ("rules.fallMs", self.fall_ms, 0.0),
+            ("rules.fallMultiple", self.fall_multiple, 0.0),
+            ("rules.startCapacity", self.start_capacity, 0.0),
+            ("rules.drainGraceMs", self.drain_grace_ms, 0.0),
+            ("rules.drainCloseMs", self.drain_close_ms.unwrap_or(1.0), f64::MIN_POSITIVE),
+            ("limits.maxRetryAfterMs", self.max_retry_after_ms, 0.0),
+            ("rules.mustAskInMs", self.must_ask_in_ms, 0.0),
+            ("limits.connIdleMs", self.conn_idle_ms, 0.0),
+            ("overShareWorth", self.over_share_worth, 0.0),
+            ("tickMs", self.tick_ms, 0.0),
+            ("instances", f64::from(self.instances), 1.0),
+            ("limits.attemptsCap", f64::from(self.max_attempts), 1.0),
+        ];
+        for c in &self.classes {
+            figures.push(("classes.hardLimitMs", c.deadline_ms, f64::MIN_POSITIVE));
+            figures.push(("classes.objectiveMs", c.aim_ms, f64::MIN_POSITIVE));
+            figures.push(("classes.value", c.worth, 0.0));
+            figures.push(("classes.lateValue", c.late_worth, 0.0));
+            figures.push(("classes.keyTtlMs", c.key_ttl_ms, 0.0));
+        }
+        figures.extend(self.tenants.iter().map(|t| ("tenants.quotaRps", t.quota_rps, 0.0)));
+        let wrong = figures.into_iter().find(|(_, v, least)| !v.is_finite() || v < least);
+        wrong.map_or(Ok(()), |(field, value, _)| Err(SettingsError::Range { field, value }))
+    }
+}
+
 /// Health of a backend as the list has it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -298,6 +336,22 @@
     Skipped,
 }
 
+impl Outcome {
+    /// How many there are.
+    pub const COUNT: usize = 8;
+    /// All of them, in their order.
+    pub const ALL: [Outcome; Outcome::COUNT] = [
+        Outcome::Done,
+        Outcome::Error,
+        Outcome::Full,
+        Outcome::TimedOut,
+        Outcome::NotConnected,
+        Outcome::Reset,
+        Outcome::Cancelled,
+        Outcome::Skipped,
+    ];
+}
+
 /// A client request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Request {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 
 pub mod balance;
 pub mod interface;
+mod tally;
 pub mod wire;
 
 pub use balance::Balancer;
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -141,12 +141,30 @@
     call: Rc<Call>,
     /// What calls each attempt off; none where it is over.
     attempts: Vec<Option<oneshot::Sender<()>>>,
+    taken: Instant,
+    /// Where each attempt that is over went, how it ended, and in how many milliseconds.
+    course: Vec<(BackendId, Outcome, f64)>,
 }
 
 impl Open {
     fn over(&self) -> bool {
         self.owed.is_none() && self.attempts.iter().all(Option::is_none)
     }
+
+    /// Tells how a request that was not served went, for whoever follows its id.
+    fn tell(&self, answer: &Answer) {
+        log::request(|| {
+            let trace = self.call.headers.get("x-trace-id").and_then(|v| v.to_str().ok()).unwrap_or("?");
+            let class = self.call.headers.get("x-qos").and_then(|v| v.to_str().ok()).unwrap_or("?");
+            let ms = self.taken.elapsed().as_secs_f64() * 1000.0;
+            let mut text = format!("request {trace} {class}: {answer:?} after {ms:.1} ms");
+            for (backend, outcome, ms) in &self.course {
+                text.push_str(&format!("; {:016x} {outcome:?} {ms:.1} ms", backend.0));
+            }
+            text.push_str(&format!("; {} out", self.attempts.iter().flatten().count()));
+            text
+        });
+    }
 }
 
 struct Place {
@@ -377,7 +395,9 @@
                 Event::List { kind, entries: targets.into_iter().map(|t| t.entry).collect() }
             }
             Input::Arrived(request, call, owed) => {
-                self.open.insert(request.id, Open { owed: Some(owed), call, attempts: Vec::new() });
+                let (attempts, course) = (Vec::new(), Vec::new());
+                let open = Open { owed: Some(owed), call, attempts, taken: Instant::now(), course };
+                self.open.insert(request.id, open);
                 Event::Request(request)
             }
             Input::Left(id) => {
@@ -389,6 +409,7 @@
             Input::Ended { id, attempt, backend, finish, elapsed_ms } => {
                 let open = self.open.get_mut(&id)?;
                 open.attempts.get_mut(attempt as usize)?.take()?;
+                open.course.push((backend, finish.outcome, elapsed_ms));
                 if let Some(reply) = finish.reply
                     && let Some(owed) = open.owed.take()
                 {
@@ -411,6 +432,7 @@
     fn settle(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(owed) = open.owed.take() {
+            open.tell(&answer);
             owed.settle(answer);
         }
         if open.over() {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -88,9 +88,15 @@
     });
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
-    let server =
-        Server::new(driver.clone(), names, settings.classes, settings.open_cap as usize, descriptors);
+    let server = Server::new(
+        driver.clone(),
+        names,
+        settings.classes.clone(),
+        settings.open_cap as usize,
+        descriptors,
+    );
     log::line(&format!("{} serves on {}", config.name, config.listen));
+    log::line(&format!("settings: {settings:?}"));
     let accepting = {
         let server = server.clone();
         spawn_local(async move { server.accept(listener).await })
