--- a/src/balance.rs
+++ b/src/balance.rs
@@ -717,7 +717,7 @@
         let Admission { level, strain, room, spill, .. } = self.admission;
         let text = format!(
             "{tally}; level {level:.2} strain {strain:.2} pressure {:.2} room {room:.2} spill {spill:.1}; \
-             congested {congested}, at cap {capped}, in flight {}",
+             backends out {congested}, at cap {capped}, in flight {}",
             self.pressure, self.in_flight
         );
         self.log(text, out);
