Map a backend's 400 to an outcome that blames the request, not the backend

Backends answered 400 within a millisecond, which the node mapped to Error; the module took each for full strain and full pressure, shut admission and tried safe ones at two more backends.

Evidence: counts by outcome over two seconds went from Done 664, Error 1 to Done 6, Error 414 while level fell to 0.02; nearly all of those were status 400. Ruled out: congestion (none), caps (0 to 4 of 12), room, descriptors (330 of 384), the rest (a hundred refusals against two thousand by level).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1047,7 +1047,7 @@
             // A backend that fails or refuses fast looks idle: its failures count as full pressure.
             let heard = match outcome {
                 Outcome::Done => self.reported(class, load),
-                Outcome::Cancelled | Outcome::Skipped => None,
+                Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected => None,
                 _ => Some(1.0).filter(|_| self.s.reporting != Reporting::None),
             };
             if let Some(value) = heard {
@@ -1058,12 +1058,11 @@
                 // Any answer at all shows that it can be reached; called off says nothing.
                 match outcome {
                     Outcome::Cancelled | Outcome::Skipped => self.backends[i].record.trial_out = false,
-                    o => self.trial_over(
-                        now,
-                        i,
-                        matches!(o, Outcome::Done | Outcome::Error | Outcome::Full),
-                        out,
-                    ),
+                    o => {
+                        let silent =
+                            matches!(o, Outcome::TimedOut | Outcome::NotConnected | Outcome::Reset);
+                        self.trial_over(now, i, !silent, out);
+                    }
                 }
             } else if !own_stall {
                 self.learn(now, i, class, (outcome, in_aim, elapsed), worth, out);
@@ -1078,8 +1077,11 @@
         if open.attempts.iter().any(|a| a.out) {
             return;
         }
-        if open.finished {
-            self.open.remove(&id);
+        if open.finished || outcome == Outcome::Rejected {
+            // What is wrong here is wrong everywhere.
+            if self.open.remove(&id).is_some_and(|o| !o.finished) {
+                out.push(Action::Fail(id));
+            }
             return;
         }
         // Further attempts multiply load: each takes from a budget, less where nothing ran.
@@ -1143,7 +1145,7 @@
                     l.answer(elapsed);
                 }
             }
-            Outcome::Cancelled | Outcome::Skipped => return,
+            Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected => return,
             _ => {}
         }
         let aim = self.s.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -334,11 +334,13 @@
     Cancelled,
     /// Not sent.
     Skipped,
+    /// The backend found the request itself wrong, as any other would: this says nothing of the backend.
+    Rejected,
 }
 
 impl Outcome {
     /// How many there are.
-    pub const COUNT: usize = 8;
+    pub const COUNT: usize = 9;
     /// All of them, in their order.
     pub const ALL: [Outcome; Outcome::COUNT] = [
         Outcome::Done,
@@ -349,6 +351,7 @@
         Outcome::Reset,
         Outcome::Cancelled,
         Outcome::Skipped,
+        Outcome::Rejected,
     ];
 }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -10,6 +10,7 @@
 use birchspoke::interface::{
     Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
 };
+use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -60,6 +61,8 @@
     },
     /// No promise.
     Failed,
+    /// A backend found the request itself wrong, in these words.
+    Rejected(StatusCode),
 }
 
 /// The one answer that is owed. Settling uses it up, so there is no second; dropping it fails the request.
@@ -144,6 +147,7 @@
     taken: Instant,
     /// Where each attempt that is over went, how it ended, and in how many milliseconds.
     course: Vec<(BackendId, Outcome, f64)>,
+    rejected: Option<StatusCode>,
 }
 
 impl Open {
@@ -278,7 +282,10 @@
                 drop(off.and_then(|a| a.as_mut()).map(|a| std::mem::replace(a, oneshot::channel().0)));
             }
             Action::Refuse { id, retry_after_ms } => core.settle(id, Answer::Refused { retry_after_ms }),
-            Action::Fail(id) => core.settle(id, Answer::Failed),
+            Action::Fail(id) => {
+                let rejected = core.open.get(&id).and_then(|o| o.rejected);
+                core.settle(id, rejected.map_or(Answer::Failed, Answer::Rejected));
+            }
             Action::Timer { token, at_ms } => {
                 let driver = self.clone();
                 let due = self.clock.instant(at_ms);
@@ -396,7 +403,14 @@
             }
             Input::Arrived(request, call, owed) => {
                 let (attempts, course) = (Vec::new(), Vec::new());
-                let open = Open { owed: Some(owed), call, attempts, taken: Instant::now(), course };
+                let open = Open {
+                    owed: Some(owed),
+                    call,
+                    attempts,
+                    taken: Instant::now(),
+                    course,
+                    rejected: None,
+                };
                 self.open.insert(request.id, open);
                 Event::Request(request)
             }
@@ -410,6 +424,7 @@
                 let open = self.open.get_mut(&id)?;
                 open.attempts.get_mut(attempt as usize)?.take()?;
                 open.course.push((backend, finish.outcome, elapsed_ms));
+                open.rejected = finish.rejected;
                 if let Some(reply) = finish.reply
                     && let Some(owed) = open.owed.take()
                 {
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -473,6 +473,7 @@
             }
             response
         }
+        Answer::Rejected(status) => plain(status, "a backend finds the request wrong\n"),
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
     }
 }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -62,11 +62,13 @@
     pub reply: Option<Reply>,
     /// The load report, if there was one.
     pub load: Load,
+    /// How a backend put it that the request itself is wrong.
+    pub rejected: Option<StatusCode>,
 }
 
 impl From<Outcome> for Finish {
     fn from(outcome: Outcome) -> Finish {
-        Finish { outcome, reply: None, load: Load::default() }
+        Finish { outcome, reply: None, load: Load::default(), rejected: None }
     }
 }
 
@@ -342,11 +344,20 @@
     let unseen = header(NEVER_RAN) == Some("1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Done,
+        // Of the request alone, whichever backend is asked. Other 4xx may be this backend's own view (404), or
+        // of this moment (408, 429).
+        StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE
+        | StatusCode::URI_TOO_LONG
+        | StatusCode::UNSUPPORTED_MEDIA_TYPE
+        | StatusCode::UNPROCESSABLE_ENTITY
+        | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => Outcome::Rejected,
         // The only proof that a backend gives; any other status may have run.
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Outcome::Full,
         _ => Outcome::Error,
     };
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
     let reply = (outcome == Outcome::Done).then_some(Reply { body, content_type });
-    Finish { outcome, reply, load }
+    let rejected = (outcome == Outcome::Rejected).then_some(head.status);
+    Finish { outcome, reply, load, rejected }
 }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -50,6 +50,35 @@
     assert!(!w.logs.iter().any(|l| l.starts_with("congested")), "{:?}", w.logs);
 }
 
+#[test]
+fn a_request_that_is_wrong_is_no_strain_on_its_backend() {
+    let mut w = World::with_backends(Settings { reporting: Reporting::Probes, ..settings() }, 1, 5);
+    w.warm_up(50, 0, 20.0);
+    for n in 0..300 {
+        let wrong = w.ask(n % 2, Some(n as u64));
+        assert!(w.at(wrong).is_some(), "request {n} was refused");
+        w.wait(5.0);
+        w.end(wrong, Outcome::Rejected);
+        assert_eq!(w.answer(wrong), Some("failed"), "asking again would bring the same");
+        assert_eq!(w.asked[&wrong].attempts.len(), 1);
+        let right = w.ask(0, Some(n as u64));
+        assert!(w.at(right).is_some(), "a right request was refused after {n} wrong ones");
+        w.wait(15.0);
+        w.end(right, Outcome::Done);
+    }
+}
+
+#[test]
+fn a_trial_that_is_rejected_shows_a_live_backend() {
+    let mut w = World::with_backends(Settings { probes: false, ..settings() }, 1, 1);
+    trip(&mut w);
+    w.wait(3000.0);
+    let trial = w.ask(0, Some(1));
+    w.end(trial, Outcome::Rejected);
+    let id = w.ask(0, Some(1));
+    assert!(w.at(id).is_some(), "live again");
+}
+
 #[test]
 fn failures_leave_the_window() {
     let mut w = safe(1);
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -79,6 +79,16 @@
     }
 }
 
+#[test]
+fn a_request_that_a_backend_rejects_is_told_so_and_goes_nowhere_else() {
+    for status in ["400 Bad Request", "413 Content Too Large", "422 Unprocessable Content"] {
+        for class in ["page", "bid", "pay", "unheard-of"] {
+            let code = status[..3].parse().unwrap();
+            assert_eq!(play(class, Act::Say(reply(status, "", b"no"))), (code, 1), "{status}, {class}");
+        }
+    }
+}
+
 #[test]
 fn what_proves_that_it_never_ran_lets_every_class_go_on() {
     for status in ["503 Service Unavailable", "504 Gateway Timeout"] {
