Hear failures as pressure only where answers carry reports that lower it

Cause: each failed attempt counted as pressure 1, which only a load report lowers again. On this site reports come with probes alone, so the mean pressure latched near 1 after some sixty failures, whatever happened next; admission took it for strain and closed, and the fleet then rested.

Ruled out: stale connections (resets strike fresh ones too), congestion (none), descriptors (93 of 384).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1044,11 +1044,12 @@
             self.backends[i].in_flight = self.backends[i].in_flight.saturating_sub(1);
             self.close_idle(now, i, out);
             self.connections(now, i, outcome, out);
-            // A backend that fails or refuses fast looks idle: its failures count as full pressure.
+            // A backend that fails or refuses fast looks idle: its failures count as full pressure, but only
+            // where answers bring reports, which alone lower it again.
             let heard = match outcome {
                 Outcome::Done => self.reported(class, load),
                 Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected => None,
-                _ => Some(1.0).filter(|_| self.s.reporting != Reporting::None),
+                _ => Some(1.0).filter(|_| self.s.reporting == Reporting::Answers),
             };
             if let Some(value) = heard {
                 self.backends[i].load.hear(now, self.pressure, value);
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -68,6 +68,26 @@
     }
 }
 
+#[test]
+fn failures_press_on_nothing_where_no_answer_brings_relief() {
+    let classes = vec![class(400.0, 1000.0, Effect::Safe)];
+    let mut w =
+        World::with_backends(Settings { reporting: Reporting::Probes, classes, ..settings() }, 1, 12);
+    let mut play = |requests: std::ops::Range<u64>, cut: u64| {
+        for n in requests.clone() {
+            let id = w.ask(0, Some(n));
+            w.wait(6.0);
+            w.end(id, if n % 8 < cut { Outcome::Reset } else { Outcome::Done });
+            w.end(id, Outcome::Done);
+        }
+        requests.filter(|n| w.answer(RequestId(n + 1)) != Some("done")).count()
+    };
+    // Two attempts in eight are cut, at no backend in particular: enough to learn from, too few to shut any.
+    play(0..400, 2);
+    let refused = play(400..600, 0);
+    assert_eq!(refused, 0, "of 200 after the last failure");
+}
+
 #[test]
 fn a_trial_that_is_rejected_shows_a_live_backend() {
     let mut w = World::with_backends(Settings { probes: false, ..settings() }, 1, 1);
