Keep broken and failed connections out of the learned in-flight cap

Cause: a reset or a failed connect cut the backend's cap as if it were overfull. With one attempt in nine reset by the network, cuts outweighed growth: caps sank to one, spills ran out of budget, and a fifth found no usable backend at p50 16 ms.

Ruled out: admission (level near 1), congestion marks, time-outs (about ten in two seconds).

The failure record counts these ends as it did.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1160,11 +1160,11 @@
             }
             _ => 1.0,
         };
-        let failed = matches!(outcome, Outcome::TimedOut | Outcome::NotConnected | Outcome::Reset);
+        let broken = matches!(outcome, Outcome::NotConnected | Outcome::Reset);
+        let failed = broken || outcome == Outcome::TimedOut;
         let b = &mut self.backends[i];
         // A full or unreachable backend is its own matter; the request goes elsewhere.
-        let own = matches!(outcome, Outcome::Full | Outcome::NotConnected | Outcome::Reset);
-        if !own && !b.record.congested {
+        if !broken && outcome != Outcome::Full && !b.record.congested {
             self.admission.good += worth * (1.0 - strain);
             self.admission.bad += worth * strain;
             self.admission.seen += 1.0;
@@ -1174,7 +1174,10 @@
         let floor = 0.5 / f64::from(self.s.instances.max(1));
         let fleet = self.admission.strain;
         let shrink = 0.5 * strain * (2.0 * fleet / TARGET_STRAIN).min(1.0);
-        b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
+        // A broken connection is the failure record's matter: it tells nothing of how much a backend can hold.
+        if !broken {
+            b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
+        }
         self.fleet_failing += 0.02 * (f64::from(u8::from(failed)) - self.fleet_failing);
         if !matches!(outcome, Outcome::Done) && !failed {
             return;
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -88,6 +88,24 @@
     assert_eq!(refused, 0, "of 200 after the last failure");
 }
 
+#[test]
+fn broken_connections_do_not_shrink_the_cap() {
+    for outcome in [Outcome::Reset, Outcome::NotConnected] {
+        let mut w = safe(1);
+        for n in 0..120 {
+            let id = w.ask(0, Some(n));
+            w.wait(20.0);
+            w.end(id, if n % 6 == 0 { outcome } else { Outcome::Done });
+            assert!(w.at(id).is_none());
+        }
+        let (a, b) = (w.ask(0, Some(1)), w.ask(0, Some(2)));
+        assert!(
+            w.at(a).is_some() && w.at(b).is_some(),
+            "{outcome:?}: two at once were no trouble at first"
+        );
+    }
+}
+
 #[test]
 fn a_trial_that_is_rejected_shows_a_live_backend() {
     let mut w = World::with_backends(Settings { probes: false, ..settings() }, 1, 1);
