Turn to the file's discovery address on SIGHUP instead of ending

Cause: the node had no handler for SIGHUP, whose default action ends the process, and read discovery's address once, the environment before the file.

Ruled out: memory (2 of 48 MB), a panic (status 101 and a message).

The watch now drops its call and asks the new address for the whole list at once; an unreadable file changes nothing.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -87,14 +87,22 @@
     text(file, field, variable)?.map(|t| address(field, &t)).transpose()
 }
 
+fn file() -> Result<Value, ConfigError> {
+    let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
+    let bad = |reason: String| ConfigError::File { path: path.clone(), reason };
+    let content = std::fs::read_to_string(&path).map_err(|e| bad(e.to_string()))?;
+    serde_json::from_str(&content).map_err(|e| bad(e.to_string()))
+}
+
 impl Config {
     /// Reads the file that `LB_CONFIG` names.
     pub fn load() -> Result<Config, ConfigError> {
-        let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
-        let file = |reason: String| ConfigError::File { path: path.clone(), reason };
-        let content = std::fs::read_to_string(&path).map_err(|e| file(e.to_string()))?;
-        let json: Value = serde_json::from_str(&content).map_err(|e| file(e.to_string()))?;
-        Config::read(&json)
+        Config::read(&file()?)
+    }
+
+    /// Where discovery answers, by the file as it is now. The environment is as old as the process: it has no say.
+    pub fn reload_discovery() -> Result<SocketAddr, ConfigError> {
+        address_of(&file()?, "discovery", None)?.ok_or_else(|| wrong("discovery", "missing"))
     }
 
     fn read(json: &Value) -> Result<Config, ConfigError> {
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
 /// agent that has fallen silent.
@@ -90,10 +90,18 @@
     Ok(Target { entry, address })
 }
 
+/// Waits until discovery moves; for ever where nobody can say so any more.
+async fn moved(address: &mut watch::Receiver<SocketAddr>) -> SocketAddr {
+    if address.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    *address.borrow_and_update()
+}
+
 /// Keeps the list fresh for as long as the node lives.
 pub struct Watch {
-    /// Where discovery is.
-    pub address: SocketAddr,
+    /// Where discovery is; it may move.
+    pub address: watch::Receiver<SocketAddr>,
     /// How the list arrives.
     pub mode: Discovery,
     /// Names of zones.
@@ -107,6 +115,8 @@
 impl Watch {
     /// Runs until the driver is gone.
     pub async fn run(mut self, driver: Rc<Driver>) {
+        let mut address = self.address.clone();
+        let mut at = *address.borrow_and_update();
         let mut conn = None;
         let mut rev: Option<u64> = None;
         let mut wanted = self.mode == Discovery::Pushed;
@@ -116,12 +126,26 @@
                 wanted = wish;
             }
             if !wanted {
-                let Some(wish) = self.wishes.recv().await else { return };
-                wanted = wish;
+                tokio::select! {
+                    wish = self.wishes.recv() => match wish {
+                        Some(wish) => wanted = wish,
+                        None => return,
+                    },
+                    // Whatever pace the old address had earned, the new one is asked now.
+                    new = moved(&mut address) => (at, conn, rev, wanted) = (new, None, None, true),
+                }
                 continue;
             }
             let begun = Instant::now();
-            match self.call(&mut conn, rev).await {
+            let result = tokio::select! {
+                result = self.call(at, &mut conn, rev) => result,
+                // A call to the old address may wait for long, and in vain; the new one may count anew.
+                new = moved(&mut address) => {
+                    (at, conn, rev) = (new, None, None);
+                    continue;
+                }
+            };
+            match result {
                 Ok(listing) => {
                     // A watch that did not wait and brought nothing must not make this loop spin.
                     let idle = rev == Some(listing.rev) && begun.elapsed() < HASTY;
@@ -161,7 +185,12 @@
         }
     }
 
-    async fn call(&self, conn: &mut Option<Conn>, rev: Option<u64>) -> Result<Listing, Box<dyn Error>> {
+    async fn call(
+        &self,
+        at: SocketAddr,
+        conn: &mut Option<Conn>,
+        rev: Option<u64>,
+    ) -> Result<Listing, Box<dyn Error>> {
         let wait_ms = if self.mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
         let (path, wait) = match rev {
             None => ("/discovery/hosts".to_owned(), Duration::from_millis(ASKED_WAIT_MS / 10)),
@@ -170,19 +199,19 @@
                 (path, Duration::from_millis(wait_ms))
             }
         };
-        let request =
-            Request::get(path).header(HOST, self.address.to_string()).body(Full::<Bytes>::default())?;
-        tokio::time::timeout(wait + SLACK, self.exchange(conn, request)).await?
+        let request = Request::get(path).header(HOST, at.to_string()).body(Full::<Bytes>::default())?;
+        tokio::time::timeout(wait + SLACK, self.exchange(at, conn, request)).await?
     }
 
     async fn exchange(
         &self,
+        at: SocketAddr,
         kept: &mut Option<Conn>,
         request: Request<Full<Bytes>>,
     ) -> Result<Listing, Box<dyn Error>> {
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
-            None => Conn::open(self.address, self.descriptors.take().await).await?,
+            None => Conn::open(at, self.descriptors.take().await).await?,
         };
         let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
         if answer.status() != StatusCode::OK {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -24,7 +24,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
 /// Connections that may wait while this node is busy or out of descriptors.
@@ -47,6 +47,7 @@
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
+    let mut hangup = signal(SignalKind::hangup())?;
     let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let settings = config.settings.clone();
     let descriptors = Descriptors::new(config.sockets);
@@ -66,8 +67,21 @@
     if let Some(known) = discovery::listing(&config.known, &names) {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
+    let (discovery, address) = watch::channel(config.discovery);
+    spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match Config::reload_discovery() {
+                Ok(address) => {
+                    log::line(&format!("told to read the configuration again: discovery is {address}"));
+                    discovery.send_if_modified(|known| std::mem::replace(known, address) != address);
+                }
+                // Better the old address than none, and than no node.
+                Err(e) => log::line(&format!("configuration not taken: {e}")),
+            }
+        }
+    });
     let watch = Watch {
-        address: config.discovery,
+        address,
         mode: settings.discovery,
         names: names.clone(),
         descriptors: descriptors.clone(),
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -308,6 +308,7 @@
     pub address: SocketAddr,
     child: Child,
     file: std::path::PathBuf,
+    config: Value,
 }
 
 impl Node {
@@ -333,10 +334,11 @@
         let child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
             .env("LB_CONFIG", &file)
+            .env("LB_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        Node { address, child, file }
+        Node { address, child, file, config }
     }
 
     pub fn up(&self) -> u16 {
@@ -356,8 +358,22 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts a configuration that names this discovery in the file's place, or one that cannot be read, and says so.
+    pub fn reconfigure(&mut self, discovery: Option<SocketAddr>) {
+        let text = discovery.map(|address| {
+            self.config["discovery"] = address.to_string().into();
+            self.config.to_string()
+        });
+        std::fs::write(&self.file, text.unwrap_or_else(|| "{".to_owned())).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
 
     pub fn running(&mut self) -> bool {
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -137,6 +137,28 @@
     wait_for("the drain is known", || node.up() == 503);
 }
 
+#[test]
+fn sighup_turns_the_node_to_another_discovery() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    for mode in ["pushed", "on_request"] {
+        let old = Discovery::start(all_up(&addresses));
+        let mut node = Node::start(old.address, |c| c["settings"]["membershipMode"] = mode.into());
+        wait_for("a watch is out", || old.calls() >= 2);
+        // The first can't be read and the second can't be reached: the list holds, and the node too.
+        node.reconfigure(None);
+        node.reconfigure(Some(free_address()));
+        assert_eq!(ask(node.address, &request("page", 900)).status(), 200, "{mode}");
+        // A service that counts anew, from below.
+        let new = Discovery::start(all_up(&addresses));
+        node.reconfigure(Some(new.address));
+        wait_for("the new address is watched", || new.calls() >= 2);
+        new.set(vec![target("s-0", addresses[0], "draining")]);
+        wait_for("its news arrived", || node.up() == 503);
+        assert!(node.running(), "{mode}");
+    }
+}
+
 #[test]
 fn a_discovery_that_does_not_wait_is_not_asked_without_end() {
     let record = Record::default();
