Close peers that owe a whole first request after 2.5 s

Cause: a connection was given 60 s for its next head, and a body as long as the request claimed to wait, up to 600 s. A peer that says nothing, or half a request, was neither told so nor closed within the three seconds it is owed.

The 60 s for an idle connection that has had an answer stay, so clients keep their connections.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -37,7 +37,12 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A connection whose next head takes longer is closed, idle or not.
 const HEAD_LIMIT: Duration = Duration::from_secs(60);
-/// Time for the body of a request that is wrong anyhow.
+/// Time for a connection's first request to be read whole, from when it came: a peer that says nothing, or not
+/// enough, is closed or told so within three seconds.
+const FIRST_REQUEST: Duration = Duration::from_millis(2500);
+/// How often a connection is looked at for that.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time for a body, whatever wait the request claims.
 const BODY_TIME: Duration = Duration::from_secs(2);
 /// And of one that announces itself as too long, which its client may be holding back.
 const LONG_BODY_TIME: Duration = Duration::from_millis(500);
@@ -69,6 +74,9 @@
 /// One client connection.
 struct Client {
     socket: Socket,
+    since: Instant,
+    /// Has had a request answered.
+    asked: Cell<bool>,
     busy: Cell<bool>,
     idle_since: Cell<Instant>,
     /// Bytes read when it last turned idle.
@@ -85,14 +93,26 @@
         !fresh && !self.busy.get() && self.socket.read() == self.read.get() && self.socket.quiet()
     }
 
-    /// Has begun a request long ago and not gone on with it.
-    fn stuck(&self) -> bool {
+    /// Has begun a request so long ago and not gone on with it.
+    fn stuck(&self, limit: Duration) -> bool {
         if self.busy.get() || self.socket.read() == self.read.get() {
             return false;
         }
         let seen = self.stuck_since.get().unwrap_or_else(Instant::now);
         self.stuck_since.set(Some(seen));
-        seen.elapsed() > STUCK
+        seen.elapsed() > limit
+    }
+
+    /// Owes a request, or the rest of one, for longer than anybody waits for it.
+    fn overdue(&self) -> bool {
+        let silent = !self.asked.get() && !self.busy.get() && self.since.elapsed() > FIRST_REQUEST;
+        silent || self.stuck(FIRST_REQUEST)
+    }
+
+    /// When the body of a request that arrived at `arrived` must be there.
+    fn body_until(&self, arrived: Instant) -> Instant {
+        let until = arrived + BODY_TIME;
+        if self.asked.get() { until } else { until.min(self.since + FIRST_REQUEST) }
     }
 }
 
@@ -110,6 +130,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.asked.set(true);
         self.0.idle_since.set(Instant::now());
         self.0.read.set(self.0.socket.read());
     }
@@ -180,7 +201,7 @@
         let clients = self.clients.borrow();
         let mut order: Vec<&Rc<Client>> = clients.values().filter(|c| !c.busy.get()).collect();
         order.sort_by_key(|c| c.idle_since.get());
-        if let Some(client) = order.into_iter().find(|c| c.idle() || c.stuck()) {
+        if let Some(client) = order.into_iter().find(|c| c.idle() || c.stuck(STUCK)) {
             client.close.notify_one();
         }
     }
@@ -245,6 +266,8 @@
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
+            since: Instant::now(),
+            asked: Cell::new(false),
             busy: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
@@ -262,7 +285,7 @@
         let service = service_fn(|request| {
             let busy = Busy::new(client.clone());
             async move {
-                let response = self.respond(request).await;
+                let response = self.respond(&busy.0, request).await;
                 drop(busy);
                 Ok::<_, Infallible>(response)
             }
@@ -277,9 +300,14 @@
             tokio::select! {
                 // Errors are the client's: gone, or not speaking the protocol and told so.
                 _ = connection.as_mut() => return,
+                () = tokio::time::sleep(LOOK) => {
+                    if client.overdue() {
+                        return;
+                    }
+                }
                 () = client.close.notified() => {
                     // Looked at again: a request may have come since.
-                    if client.stuck() || client.idle() && client.socket.read() == 0 {
+                    if client.stuck(STUCK) || client.idle() && client.socket.read() == 0 {
                         return;
                     }
                     if client.idle() {
@@ -290,22 +318,23 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let arrived = Instant::now();
+        let until = client.body_until(arrived);
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.read(arrived, head, body).await {
+            match self.read(arrived, until, head, body).await {
                 Ok(reading) => answer(self.ask(reading).await),
                 Err(refused) => refused,
             }
         } else if path != "/up" {
-            self.turn_away(arrived, body, StatusCode::NOT_FOUND, "no such path\n").await
+            self.turn_away(until, body, StatusCode::NOT_FOUND, "no such path\n").await
         } else if matches!(head.method, Method::GET | Method::HEAD) {
             let ready = self.driver.ready() && self.stopping.get().is_none();
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
-            self.turn_away(arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
+            self.turn_away(until, body, StatusCode::METHOD_NOT_ALLOWED, "").await
         };
         if self.stopping.get().is_some() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -317,12 +346,12 @@
     /// and the answer under way would be lost.
     async fn turn_away(
         &self,
-        arrived: Instant,
+        until: Instant,
         body: Incoming,
         status: StatusCode,
         text: &'static str,
     ) -> Response<Full<Bytes>> {
-        match collect(body, arrived + BODY_TIME).await {
+        match collect(body, until).await {
             Ok(_) => plain(status, text),
             Err(BodyError::Long) => farewell(status, text),
             Err(BodyError::Cut | BodyError::Late) => farewell(StatusCode::BAD_REQUEST, text),
@@ -340,13 +369,14 @@
     async fn read(
         &self,
         arrived: Instant,
+        until: Instant,
         head: Parts,
         body: Incoming,
     ) -> Result<Reading, Response<Full<Bytes>>> {
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         if header("x-trace-id").is_none_or(str::is_empty) {
             let text = "X-Trace-Id is missing\n";
-            return Err(self.turn_away(arrived, body, StatusCode::BAD_REQUEST, text).await);
+            return Err(self.turn_away(until, body, StatusCode::BAD_REQUEST, text).await);
         }
         let class = self.names.class(header("x-qos").unwrap_or_default());
         let known = self.classes.get(class);
@@ -361,7 +391,7 @@
         };
         if !agrees {
             let text = "method and Idempotency-Key do not agree with the class\n";
-            return Err(self.turn_away(arrived, body, StatusCode::BAD_REQUEST, text).await);
+            return Err(self.turn_away(until, body, StatusCode::BAD_REQUEST, text).await);
         }
         let shortest = || self.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
         let class_wait = known.map_or_else(shortest, |c| c.deadline_ms);
@@ -370,7 +400,7 @@
             .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
             .min(LONGEST_WAIT);
         let expires = arrived + wait.saturating_sub(LAST_MARGIN);
-        let body = collect(body, expires).await.map_err(|e| match e {
+        let body = collect(body, expires.min(until)).await.map_err(|e| match e {
             BodyError::Long => farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"),
             BodyError::Cut => farewell(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
             BodyError::Late => farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -433,6 +433,14 @@
         Message::read(&mut self.reader)
     }
 
+    /// The other side has closed, or does so in time.
+    pub fn at_end(&mut self) -> bool {
+        match self.reader.read(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
     pub fn ask(&mut self, bytes: &[u8]) -> Message {
         assert!(self.send(bytes));
         self.answer().expect("an answer")
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -85,6 +85,39 @@
     assert_eq!(record.count(), 0);
 }
 
+#[test]
+fn a_peer_that_does_not_finish_its_request_is_closed_or_told_so() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let head =
+        "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: 1\r\nX-Expires-In-Ms: 60000\r\nContent-Length: 9\r\n";
+    let cases = [
+        String::new(),
+        "GET /api HT".to_owned(),
+        format!("{head}X-Qos: bid\r\n\r\nhalf"),
+        format!("{head}X-Qos: unheard-of\r\n\r\nhalf"),
+        format!("{head}\r\nhalf"),
+    ];
+    // All at once, and one that has had an answer before: it stops in its second head.
+    let mut peers: Vec<Client> = cases.iter().map(|_| Client::connect(node.address)).collect();
+    for (peer, bytes) in peers.iter_mut().zip(&cases) {
+        assert!(peer.send(bytes.as_bytes()));
+    }
+    let mut second = Client::connect(node.address);
+    assert_eq!(second.ask(&request("page", 900)).status(), 200);
+    assert!(second.send(b"GET /api HT"));
+    peers.push(second);
+    for (n, mut peer) in peers.into_iter().enumerate() {
+        // `None` by the end of the stream and not by the patience of this test.
+        let answer = peer.answer().map(|m| m.status());
+        assert!(answer.is_none_or(|s| (400..500).contains(&s)), "{n}: {answer:?}");
+        assert!(peer.at_end(), "{n}: still open after {PATIENCE:?}");
+    }
+    assert_eq!(record.count(), 1);
+}
+
 #[test]
 fn a_class_nobody_knows_is_never_sent_twice() {
     let record = Record::default();
