Give every refusal its Retry-After, whatever the settings hold

Cause: the settings of this site say limits.retryAfter = false, and the module then refused without advice.

The protocol lets any refusal carry Retry-After, and whoever is refused is owed the time. The CRAT is now given always, also by a node at its limit of open requests; the setting, read for this alone, goes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -987,7 +987,7 @@
             out.push(Action::Fail(id));
             return;
         }
-        let retry_after_ms = if self.s.retry_after { self.crat(now, aim) } else { 0.0 };
+        let retry_after_ms = self.crat(now, aim);
         out.push(Action::Refuse { id, retry_after_ms });
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -177,8 +177,6 @@
     pub may_cancel: bool,
     /// Two attempts of one request may be out at once.
     pub second_copies: bool,
-    /// Clients are given a Retry-After.
-    pub retry_after: bool,
     /// The longest Retry-After that a client honours.
     pub max_retry_after_ms: f64,
     /// Probing is allowed.
@@ -463,7 +461,7 @@
     Refuse {
         /// The request.
         id: RequestId,
-        /// Advice; 0 for none.
+        /// When to come back.
         retry_after_ms: f64,
     },
     /// Final answer: failed; no promise.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -56,7 +56,7 @@
     Served(Reply),
     /// Trying again is harmless, best after this long.
     Refused {
-        /// 0 for no advice.
+        /// Milliseconds.
         retry_after_ms: f64,
     },
     /// No promise.
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -33,6 +33,8 @@
 const MARGIN: Duration = Duration::from_millis(4);
 /// And so long before, the node ends what the decisions have not.
 const LAST_MARGIN: Duration = Duration::from_millis(1);
+/// When to come back to a node that holds as many requests as it may.
+const FULL_RETRY_AFTER_MS: f64 = 1000.0;
 /// A client's wait beyond this is not believed.
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A connection whose next head takes longer is closed, idle or not.
@@ -360,7 +362,7 @@
 
     async fn ask(&self, Reading { asked, call, deadline, expires }: Reading) -> Answer {
         if self.driver.open() >= self.open_cap {
-            return Answer::Refused { retry_after_ms: 0.0 };
+            return Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS };
         }
         self.driver.submit(asked, call, deadline, expires).answer().await
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -449,7 +449,6 @@
         max_attempts: count(&v, "limits.attemptsCap", 1)?,
         may_cancel: truth(&v, "limits.mayCancel")?,
         second_copies: truth(&v, "limits.secondCopies")?,
-        retry_after: truth(&v, "limits.retryAfter")?,
         max_retry_after_ms: f("limits.maxRetryAfterMs", 1000.0)?,
         probes: truth(&v, "limits.probing")?,
         peer_messages: truth(&v, "limits.peerMessages")?,
