Leave a backend that answers quick errors nearly alone: pause by the usual time

Cause: below a cap of one a backend is used with pauses, counted in multiples of the last attempt's time. A 500 within two milliseconds bought a return after four, and an idle backend is the first choice of two. Orders that may have run are not tried again and failed there.

Ruled out: wrong requests (Rejected by now), resets (none), cold backends.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,8 +18,7 @@
 const TICK: u64 = 1;
 const ASK: u64 = 2;
 
-/// The failure record: failures and tries in a window of buckets, and the congested state with its
-/// PRAT.
+/// The failure record: failures and tries in a window of buckets, and the congested state with its PRAT.
 #[derive(Debug, Default)]
 struct Record {
     buckets: [(u16, u16); BUCKETS],
@@ -90,7 +89,7 @@
             // Room that was not in use when strain showed is no room: part of it goes at once, the more the
             // more the fleet is strained. One late answer in easy times takes next to nothing.
             let idle = (self.limit - f64::from(in_flight) - 1.0).max(0.0);
-            self.limit = (self.limit + step - shrink * idle).max(floor);
+            self.limit = (self.limit + step - shrink * idle).max(floor.min(self.limit));
             self.lost -= step;
             if self.lost > self.limit || self.cut_at == 0.0 {
                 (self.cut_at, self.lost) = (now, 0.0);
@@ -231,8 +230,7 @@
 
 impl Learned {
     /// Time that a client has spent on earlier tries. First tries are all given the same time, the most
-    /// common one; a try given less, or more (the client's last), shows by its end when the first
-    /// began.
+    /// common one; a try given less, or more (the client's last), shows by its end when the first began.
     fn age(&mut self, given: f64, deadline: f64) -> f64 {
         if self.allowed.is_empty() {
             self.allowed = vec![0; 101];
@@ -443,8 +441,7 @@
         self.s.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max)
     }
 
-    /// N: half of the time a restart takes to warm, so that a failure is forgotten before its cause
-    /// recurs.
+    /// N: half of the time a restart takes to warm, so that a failure is forgotten before its cause recurs.
     fn window(&self) -> f64 {
         (self.s.cold_ms / 2.0).max(2.0 * self.longest_aim())
     }
@@ -904,8 +901,7 @@
         }
     }
 
-    /// Over its share: by chance, as often as the tenant's traffic exceeds this node's part of its
-    /// quota.
+    /// Over its share: by chance, as often as the tenant's traffic exceeds this node's part of its quota.
     fn over_share(&mut self, tenant: Option<usize>) -> bool {
         let Some((i, quota)) = tenant.and_then(|t| self.s.tenants.get(t).map(|q| (t, q.quota_rps))) else {
             return false;
@@ -923,9 +919,8 @@
     /// Sends an attempt, or answers when there is nowhere to send it.
     fn attempt(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
         let Some(index) = self.pick(now, id) else {
-            // What finds every way blocked is pressure too: admission must shed what is worth least, not
-            // chance. It counts as far as backends are blocked at large: a hot key's two are no matter of the
-            // fleet.
+            // What finds every way blocked is pressure too: admission must shed by worth, not by chance.
+            // It counts as far as backends are blocked at large: a hot key's two are no matter of the fleet.
             let worth = self.open.get(&id).map_or(0.0, |o| o.worth);
             self.tally.stop(Stop::NoBackend);
             self.admission.bad += worth * self.admission.blocked;
@@ -991,8 +986,7 @@
         out.push(Action::Refuse { id, retry_after_ms });
     }
 
-    /// CRAT: earliest PRAT - now + T + chance when every backend is congested, T + chance when caps
-    /// block.
+    /// CRAT: earliest PRAT - now + T + chance when every backend is congested, T + chance when caps block.
     fn crat(&mut self, now: f64, aim: f64) -> f64 {
         let up = || self.backends.iter().filter(|b| b.up);
         let open = up().any(|b| !b.record.congested);
@@ -1171,11 +1165,16 @@
             self.admission.seen += 1.0;
         }
         // Caps tell backends apart: what the whole fleet suffers is admission's matter.
-        // At the floor all nodes together keep half a request in flight at a backend.
-        let floor = 0.5 / f64::from(self.s.instances.max(1));
+        // At the floor all nodes together keep half a request in flight; far less where errors come, none of
+        // which counts as quicker than an answer: a quick one would look idle and draw more.
+        let mean = self.learned.get(class).map_or(0.0, |l| l.mean);
+        let (floor, elapsed) = match outcome {
+            Outcome::Error => (ERRING_FLOOR, elapsed.max(mean)),
+            _ => (0.5 / f64::from(self.s.instances.max(1)), elapsed),
+        };
         let fleet = self.admission.strain;
         let shrink = 0.5 * strain * (2.0 * fleet / TARGET_STRAIN).min(1.0);
-        // A broken connection is the failure record's matter: it tells nothing of how much a backend can hold.
+        // A broken connection is the failure record's matter: it tells nothing of what a backend can hold.
         if !broken {
             b.cap.learn(now, elapsed, b.in_flight, strain * (1.0 - fleet), shrink, floor);
         }
@@ -1214,8 +1213,7 @@
             b.record.prat = now + t;
             return;
         }
-        // Back from a silence that outlasted a trial: it may have restarted, and the list is late to
-        // say so.
+        // Back from a silence that outlasted a trial: it may have restarted, and the list is late to say so.
         if failed_trials > 0 {
             b.cold_since = now;
             b.cold_tokens = self.rng.f64();
@@ -1242,6 +1240,8 @@
     if age >= s.cold_ms { 1.0 } else { start + (1.0 - start) * (age / s.cold_ms).clamp(0.0, 1.0) }
 }
 
+/// Cap of a backend that answers nothing but errors: a request every thirty usual times shows when it mends.
+const ERRING_FLOOR: f64 = 1.0 / 32.0;
 /// Strain that the learned cap and admission settle at.
 const TARGET_STRAIN: f64 = 0.2;
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -469,6 +469,36 @@
     assert!(!w.logs.iter().any(|l| l.starts_with("congested")), "errors are answers");
 }
 
+#[test]
+fn a_backend_of_quick_errors_draws_little_and_is_taken_back_when_it_mends() {
+    let mut w = safe(12);
+    w.warm_up(200, 0, 20.0);
+    let bad = up(1).backend;
+    // Attempts that the bad backend gets in 600 requests: an answer takes 20 ms, an error one.
+    let mut play = |mended: bool| {
+        let mut at_bad = 0;
+        for n in 0..600 {
+            let id = w.ask(0, Some(n));
+            w.wait(1.0);
+            while !mended && w.at(id) == Some(bad) {
+                at_bad += 1;
+                w.end(id, Outcome::Error);
+                w.wait(1.0);
+            }
+            at_bad += u32::from(w.at(id) == Some(bad));
+            w.wait(19.0);
+            w.end(id, Outcome::Done);
+            assert_eq!(w.answer(id), Some("done"), "request {n}");
+        }
+        at_bad
+    };
+    let bad_share = play(false);
+    assert!(bad_share <= 25, "{bad_share} of 600 went to a backend that answers errors");
+    play(true);
+    let share = play(true);
+    assert!((30..=80).contains(&share), "{share} of 600 is not its share of twelve, though it has mended");
+}
+
 #[test]
 fn a_silent_backend_is_left_alone_and_cold_when_it_returns() {
     let mut w = safe(2);
