Bound the module's log by rate alone, not by 200 lines a life

Cause: the counting line, new with these mends and up to one in two seconds, would use up the module's 200 lines within minutes of trouble; after that neither it nor a trip or a return of a backend would be told for the rest of the node's life.

Evidence: 400 refusals, one each 2.5 s, left 200 lines. The node's own log keeps its bound of twenty lines a second.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -13,8 +13,6 @@
 
 /// Buckets of the failure window (the source keeps 16 and one in the making).
 const BUCKETS: usize = 16;
-/// Log lines a node may write in its life.
-const LOG_LINES: u32 = 200;
 const TICK: u64 = 1;
 const ASK: u64 = 2;
 
@@ -354,7 +352,6 @@
     warm_count: f64,
     ticked: f64,
     ask_failures: u32,
-    logged: u32,
 }
 
 fn mix(mut h: u64) -> u64 {
@@ -403,7 +400,6 @@
             warm_count: 0.0,
             ticked: 0.0,
             ask_failures: 0,
-            logged: 0,
             s,
         })
     }
@@ -458,13 +454,6 @@
         (self.s.fall_ms / 6.0).max(20.0 * self.s.tick_ms).max(1.0)
     }
 
-    fn log(&mut self, text: String, out: &mut Vec<Action>) {
-        if self.logged < LOG_LINES {
-            self.logged += 1;
-            out.push(Action::Log(text));
-        }
-    }
-
     // ---- the list ----
 
     fn find(&self, id: BackendId) -> Option<usize> {
@@ -701,7 +690,9 @@
             a.rest_until = now + REST_MS;
             a.rest_again = now + 5.0 * REST_MS;
             a.level = 0.5;
-            self.log("rest: far less is served than before, nothing is let in for a while".to_owned(), out);
+            out.push(Action::Log(
+                "rest: far less is served than before, nothing is let in for a while".to_owned(),
+            ));
         }
     }
 
@@ -717,7 +708,7 @@
              backends out {congested}, at cap {capped}, in flight {}",
             self.pressure, self.in_flight
         );
-        self.log(text, out);
+        out.push(Action::Log(text));
     }
 
     // ---- picking ----
@@ -1101,7 +1092,7 @@
         self.unconnected += 0.02 * (failed - self.unconnected);
         if self.unconnected > SCARCE {
             if now >= self.scarce_until {
-                self.log("connections are scarce: idle ones are given back".to_owned(), out);
+                out.push(Action::Log("connections are scarce: idle ones are given back".to_owned()));
                 out.extend(
                     self.backends.iter().filter(|b| b.in_flight == 0).map(|b| Action::Release(b.id)),
                 );
@@ -1199,7 +1190,7 @@
             b.record.prat = now + t;
             let text =
                 format!("congested {:016x}: {failures} failures of {tries}, trial in {t:.0} ms", b.id.0);
-            self.log(text, out);
+            out.push(Action::Log(text));
         }
     }
 
@@ -1220,7 +1211,7 @@
         }
         b.record.revive();
         let text = format!("live {:016x}: trial answered after {failed_trials} failed", b.id.0);
-        self.log(text, out);
+        out.push(Action::Log(text));
     }
 }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -124,6 +124,20 @@
     assert!(lost <= 5, "{lost} of {} had no second attempt", cut.len());
 }
 
+#[test]
+fn a_long_life_does_not_silence_the_log() {
+    let mut w = World::new(settings(), 1);
+    for _ in 0..400 {
+        w.ask(0, Some(1));
+        w.wait(2500.0);
+    }
+    assert!(
+        w.logs.len() > 300,
+        "{} lines for 400 refusals, each some seconds after the last",
+        w.logs.len()
+    );
+}
+
 #[test]
 fn a_trial_that_is_rejected_shows_a_live_backend() {
     let mut w = World::with_backends(Settings { probes: false, ..settings() }, 1, 1);
