Start with a watch from the known list's version, not with the whole list

Ruled out: discovery being down.

At fault: Watch::run in src/node/discovery.rs began with no version, though the configuration's known list has one. A watch from there costs the changes alone. An empty list, one of changes only, or one with an entry that could not be read is still asked for whole.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -34,10 +34,19 @@
 pub struct Listing {
     rev: u64,
     all: bool,
-    /// Its lines, without those that could not be read.
+    /// Lines that could not be read.
+    skipped: usize,
+    /// The others.
     pub targets: Vec<Target>,
 }
 
+impl Listing {
+    /// The version that a watch may go on from: none of an empty list or of one that was not read whole.
+    pub fn complete(&self) -> Option<u64> {
+        (self.all && self.skipped == 0 && !self.targets.is_empty()).then_some(self.rev)
+    }
+}
+
 /// Reads a list in discovery's form. Bad lines are logged and skipped: one of them must not hide the rest.
 pub fn listing(json: &Value, names: &Names) -> Option<Listing> {
     let rev = json.get("rev")?.as_u64()?;
@@ -53,7 +62,7 @@
             }
         }
     }
-    Some(Listing { rev, all, targets })
+    Some(Listing { rev, all, skipped: lines.len() - targets.len(), targets })
 }
 
 fn target(line: &Value, names: &Names) -> Result<Target, &'static str> {
@@ -102,6 +111,9 @@
 pub struct Watch {
     /// Where discovery is; it may move.
     pub address: watch::Receiver<SocketAddr>,
+    /// The version of the list that is known already. Asking for the changes since costs the one service of
+    /// all nodes far less than the whole list, above all where many nodes start at once.
+    pub known: Option<u64>,
     /// How the list arrives.
     pub mode: Discovery,
     /// Names of zones.
@@ -118,7 +130,7 @@
         let mut address = self.address.clone();
         let mut at = *address.borrow_and_update();
         let mut conn = None;
-        let mut rev: Option<u64> = None;
+        let mut rev = self.known;
         let mut wanted = self.mode == Discovery::Pushed;
         let mut failing = false;
         loop {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -64,7 +64,9 @@
     let driver = Driver::new(balancer, settings.reporting, upstream.clone(), peers.clone(), wish);
     let names = Rc::new(config.names);
     driver.take(Input::Start);
-    if let Some(known) = discovery::listing(&config.known, &names) {
+    let known = discovery::listing(&config.known, &names);
+    let version = known.as_ref().and_then(discovery::Listing::complete);
+    if let Some(known) = known {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
     let (discovery, address) = watch::channel(config.discovery);
@@ -82,6 +84,7 @@
     });
     let watch = Watch {
         address,
+        known: version,
         mode: settings.discovery,
         names: names.clone(),
         descriptors: descriptors.clone(),
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -207,7 +207,7 @@
     targets: Vec<Value>,
     silent: bool,
     hasty: bool,
-    calls: u32,
+    calls: Vec<String>,
 }
 
 /// A fake discovery that always tells the whole list.
@@ -248,7 +248,7 @@
             let end = Instant::now() + Duration::from_millis(number("wait_ms=").unwrap_or(0));
             let (lock, changed) = &*self.state;
             let mut state = lock.lock().unwrap();
-            state.calls += 1;
+            state.calls.push(message.first_line.clone());
             while state.silent || (!state.hasty && state.rev <= after && Instant::now() < end) {
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
@@ -280,8 +280,14 @@
     }
 
     /// Calls that were made so far.
-    pub fn calls(&self) -> u32 {
-        self.state.0.lock().unwrap().calls
+    pub fn calls(&self) -> usize {
+        self.state.0.lock().unwrap().calls.len()
+    }
+
+    /// The first line of the first call, once there is one.
+    pub fn first_call(&self) -> String {
+        wait_for("a call", || self.calls() > 0);
+        self.state.0.lock().unwrap().calls[0].clone()
     }
 }
 
--- a/tests/node_fleet.rs
+++ b/tests/node_fleet.rs
@@ -20,6 +20,31 @@
     assert_eq!(ask(node.address, &request("page", 900)).status(), 200);
 }
 
+#[test]
+fn a_known_list_is_watched_on_from_its_version_unless_part_of_it_is_missing() {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| ok(b"x"));
+    let targets = all_up(&addresses);
+    let mut spoilt = targets.clone();
+    spoilt[1]["endpoint"] = "nowhere".into();
+    for mode in ["pushed", "on_request"] {
+        let first_call = |all: bool, targets: &[serde_json::Value]| {
+            let discovery = Discovery::start(all_up(&addresses));
+            let known = json!({"rev": 1, "all": all, "targets": targets});
+            let _node = Node::start(discovery.address, |c| {
+                c["settings"]["membershipMode"] = mode.into();
+                c["known"] = known;
+            });
+            discovery.first_call()
+        };
+        assert!(first_call(true, &targets).starts_with("GET /discovery/hosts?after=1&"), "{mode}");
+        let whole = "GET /discovery/hosts HTTP/1.1";
+        assert_eq!(first_call(true, &spoilt), whole, "{mode}: an entry was not read");
+        assert_eq!(first_call(false, &targets), whole, "{mode}: changes alone");
+        assert_eq!(first_call(true, &[]), whole, "{mode}: an empty list");
+    }
+}
+
 #[test]
 fn a_bad_entry_does_not_hide_the_others() {
     let record = Record::default();
