Drop the rest of five seconds: nodes that see little rest alone, to no use

What a node took for a fleet that had sunk was one being replaced: fewer backends, the new ones cold.

At fault: Balancer::rest, which is gone, and Stop::Rest with it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -267,17 +267,6 @@
     room: f64,
     /// A request has found that full since the last tick.
     crowded: bool,
-    /// Requests asked and served a second, the most that was ever served, and for how long that has been out
-    /// of reach.
-    asked: f64,
-    served: f64,
-    most_served: f64,
-    fallen_for: f64,
-    /// Nothing is let in until then; and no other rest before that.
-    rest_until: f64,
-    rest_again: f64,
-    asked_count: f64,
-    served_count: f64,
     good: f64,
     bad: f64,
     /// Share of backends that are congested or capped.
@@ -572,7 +561,6 @@
         let shut = |b: &&Backend| b.up && (b.record.congested || b.cap.blocks(now, b.in_flight));
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
-        self.rest(now, seconds, out);
         self.tell(now, out);
         for b in self.backends.iter().filter(|b| now < b.close_until) {
             out.push(Action::Release(b.id));
@@ -669,33 +657,6 @@
         }
     }
 
-    /// Backends that were crowded may stay slow until nearly idle; admission alone keeps them just busy. When
-    /// far less than before is served though more is asked and admission has closed, the fleet rests. Holds
-    /// against whatever heals only in rest; where it is slow for another reason this costs the rest.
-    fn rest(&mut self, now: f64, seconds: f64, out: &mut Vec<Action>) {
-        let keep = (-seconds / 2.0_f64).exp();
-        let a = &mut self.admission;
-        a.asked = a.asked * keep + a.asked_count / seconds * (1.0 - keep);
-        a.served = a.served * keep + a.served_count / seconds * (1.0 - keep);
-        (a.asked_count, a.served_count) = (0.0, 0.0);
-        // After a rest, only what is served from then on is the measure of the next.
-        a.most_served = if now < a.rest_until { a.served } else { a.most_served.max(a.served) };
-        // A deviation of what so few requests make.
-        let served = a.served + (a.served / 4.0).sqrt();
-        let fallen = served < 0.6 * a.most_served && a.asked > a.most_served && a.level < 0.7;
-        a.fallen_for = if fallen { a.fallen_for + seconds } else { 0.0 };
-        // A node that sees too little to tell would rest alone, to no use.
-        let told = self.s.reporting != Reporting::None && a.most_served >= REST_EVIDENCE;
-        if told && a.fallen_for > 2.0 && now >= a.rest_again {
-            a.rest_until = now + REST_MS;
-            a.rest_again = now + 5.0 * REST_MS;
-            a.level = 0.5;
-            out.push(Action::Log(
-                "rest: far less is served than before, nothing is let in for a while".to_owned(),
-            ));
-        }
-    }
-
     /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
     fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
         let Some(tally) = self.tally.take(now) else { return };
@@ -854,7 +815,6 @@
         let mean = self.learned.get(request.class).map_or(1.0, |l| l.mean.max(1.0));
         let cost = request.effort_ms.filter(|e| e.is_finite() && *e > 0.0).unwrap_or(mean);
         let mut let_in = worth > 0.0;
-        self.admission.asked_count += 1.0;
         self.tally.ask();
         if let Some(offered) = self.admission.offered.get_mut(request.class) {
             let o = usize::from(over || age >= aim);
@@ -867,8 +827,7 @@
             let room = (room + 3.0 * room.sqrt()).max(1.0) * self.admission.part[request.class][o];
             let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
             self.admission.crowded |= crowded;
-            let rests = now < self.admission.rest_until;
-            let stops = [(Stop::Level, !let_in), (Stop::Room, crowded), (Stop::Rest, rests)];
+            let stops = [(Stop::Level, !let_in), (Stop::Room, crowded)];
             if let Some((by, _)) = stops.into_iter().find(|(_, stops)| *stops) {
                 self.tally.stop(by);
                 let_in = false;
@@ -1123,7 +1082,6 @@
                 if now - self.backends[i].cold_since >= self.s.cold_ms {
                     self.warm_count += 1.0;
                 }
-                self.admission.served_count += 1.0;
             }
             // Time-outs count as answers that took at least so long: left out, they would make n ever
             // shorter.
@@ -1256,10 +1214,6 @@
 const COLD_KEY_WORK: f64 = 2.0;
 /// Requests in flight at a backend, of all nodes together, that none is held to be too small for.
 const FIRST_CROWD: f64 = 4.0;
-/// Requests served a second from which a fall is told from chance: the deviation is under a fifth of that.
-const REST_EVIDENCE: f64 = 8.0;
-/// Length of a rest.
-const REST_MS: f64 = 5000.0;
 /// Weight of a candidate beyond this node's zone, where crossing is priced: enough of them are left for a
 /// zone with more traffic than its own can carry, and a key keeps few homes.
 const FAR: f64 = 0.5;
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -13,8 +13,6 @@
     Level,
     /// More in flight than this node has room for.
     Room,
-    /// The fleet rests.
-    Rest,
     /// No backend is usable.
     NoBackend,
 }
@@ -24,7 +22,7 @@
 pub(crate) struct Tally {
     since: f64,
     asked: u32,
-    stopped: [u32; 4],
+    stopped: [u32; 3],
     ended: [u32; Outcome::COUNT],
 }
 
@@ -48,15 +46,15 @@
 
     /// The counts, to be told at `now` and begun anew: none while nothing was stopped, nor soon after others.
     pub(crate) fn take(&mut self, now: f64) -> Option<Tally> {
-        let due = now - self.since >= SPAN_MS && self.stopped != [0; 4];
+        let due = now - self.since >= SPAN_MS && self.stopped != [0; 3];
         due.then(|| std::mem::replace(self, Tally { since: now, ..Tally::default() }))
     }
 }
 
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let [level, room, rest, backend] = self.stopped;
-        write!(f, "asked {}, stopped by level {level}, room {room}, rest {rest}, ", self.asked)?;
+        let [level, room, backend] = self.stopped;
+        write!(f, "asked {}, stopped by level {level}, room {room}, ", self.asked)?;
         write!(f, "no usable backend {backend}; attempts ended")?;
         for (count, outcome) in self.ended.iter().zip(Outcome::ALL).filter(|(count, _)| **count > 0) {
             write!(f, " {outcome:?} {count}")?;
@@ -75,11 +73,10 @@
         tally.ask();
         tally.end(Outcome::Reset);
         assert!(tally.take(SPAN_MS).is_none(), "nothing was stopped");
-        tally.stop(Stop::Rest);
+        tally.stop(Stop::Room);
         assert!(tally.take(SPAN_MS - 1.0).is_none(), "too soon");
         let text = tally.take(SPAN_MS).map(|t| t.to_string());
-        let wanted =
-            "asked 1, stopped by level 0, room 0, rest 1, no usable backend 0; attempts ended Reset 1";
+        let wanted = "asked 1, stopped by level 0, room 1, no usable backend 0; attempts ended Reset 1";
         assert_eq!(text.as_deref(), Some(wanted));
         tally.stop(Stop::Level);
         assert!(tally.take(SPAN_MS + 1.0).is_none(), "told a moment ago");
