Pace list calls by the fleet's size, and log them

Nodes had no list until 10 s, and restarted ones until the end.

At fault: Event::Start asked at once, and the pause after a failure in Balancer::on_list began at a sixth of the fall window and ended at half the asking limit, whatever the number of nodes. Now the first calls are spread over 25 ms a node, and the pause after failures begins at that and may grow to four times as much, never past half of what counts as deaf after a failed call. Four nodes: a first call within 100 ms, pauses as before.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -400,7 +400,9 @@
                 self.ticked = now;
                 out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
                 if self.s.discovery == Discovery::OnRequest {
-                    out.push(Action::Watch(true));
+                    // The list that is known serves meanwhile.
+                    let wait = self.ask_spread() * self.rng.f64();
+                    out.push(Action::Timer { token: ASK, at_ms: now + wait });
                 }
             }
             Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
@@ -443,6 +445,11 @@
         (self.s.fall_ms / 6.0).max(20.0 * self.s.tick_ms).max(1.0)
     }
 
+    /// The calls of all nodes that start at once are spread over this long.
+    fn ask_spread(&self) -> f64 {
+        (ASK_SPACING * f64::from(self.s.instances)).min(self.s.must_ask_in_ms / 2.0)
+    }
+
     // ---- the list ----
 
     fn find(&self, id: BackendId) -> Option<usize> {
@@ -451,10 +458,13 @@
 
     fn on_list(&mut self, now: f64, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            // Asked again at a jittered pace that backs off, but often enough not to count as deaf.
+            // Asked again at a jittered pace that backs off, but often enough not to count as deaf: that time
+            // is four times as long after a failed call. What waits in vain keeps the service busy too.
             self.ask_failures = (self.ask_failures + 1).min(5);
-            let most = (self.s.must_ask_in_ms / 2.0).max(1.0);
-            let wait = (self.tick_span() * f64::from(1_u32 << self.ask_failures)).min(most);
+            let least = self.tick_span().max(self.ask_spread());
+            let most =
+                (self.s.must_ask_in_ms / 2.0).max(4.0 * least).min(2.0 * self.s.must_ask_in_ms).max(1.0);
+            let wait = (least * f64::from(1_u32 << self.ask_failures)).min(most);
             out.push(Action::Timer { token: ASK, at_ms: now + wait * (0.5 + 0.5 * self.rng.f64()) });
             return;
         }
@@ -1189,6 +1199,8 @@
     if age >= s.cold_ms { 1.0 } else { start + (1.0 - start) * (age / s.cold_ms).clamp(0.0, 1.0) }
 }
 
+/// Time that discovery, one service for all nodes, is left for each node's call.
+const ASK_SPACING: f64 = 25.0;
 /// Cap of a backend that answers nothing but errors: a request every thirty usual times shows when it mends.
 const ERRING_FLOOR: f64 = 1.0 / 32.0;
 /// Strain that the learned cap and admission settle at.
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -168,6 +168,15 @@
                         log::line("discovery: answers again");
                         failing = false;
                     }
+                    if !listing.targets.is_empty() {
+                        log::line(&format!(
+                            "discovery: version {}, {} {} after {} ms",
+                            listing.rev,
+                            listing.targets.len(),
+                            if listing.all { "entries, all" } else { "changes" },
+                            begun.elapsed().as_millis()
+                        ));
+                    }
                     // No change is news too where discovery is asked: the call did not fail.
                     if !lost {
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
@@ -179,8 +188,10 @@
                 }
                 Err(e) => {
                     conn = None;
-                    if !failing {
-                        log::line(&format!("discovery: no answer: {e}"));
+                    // Calls that the decisions pace are few: each failure is told.
+                    if !failing || self.mode == Discovery::OnRequest {
+                        let ms = begun.elapsed().as_millis();
+                        log::line(&format!("discovery: no answer after {ms} ms: {e}"));
                         failing = true;
                     }
                     if self.mode == Discovery::OnRequest {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -599,6 +599,7 @@
 #[test]
 fn a_refused_subscription_is_asked_anew_soon_and_at_a_jittered_pace() {
     let mut w = World::new(Settings { discovery: Discovery::OnRequest, ..settings() }, 1);
+    w.wait(150.0);
     assert_eq!(w.watches.len(), 1, "asked at the start");
     let mut gaps = Vec::new();
     for _ in 0..8 {
@@ -615,6 +616,58 @@
 
 // ---- bad input ----
 
+#[test]
+fn the_first_list_calls_of_a_fleet_are_spread_by_its_size() {
+    let first_calls = |instances: u32| {
+        let mut at: Vec<f64> = Vec::new();
+        for seed in 0..u64::from(instances) {
+            let s = Settings { discovery: Discovery::OnRequest, instances, ..settings() };
+            let mut w = World::new(s, seed);
+            let start = w.now;
+            for _ in 0..6000 {
+                w.wait(1.0);
+            }
+            assert_eq!(w.watches.len(), 1, "one call, and none more until it is answered");
+            at.push(w.watches[0] - start);
+        }
+        at.sort_by(f64::total_cmp);
+        at
+    };
+    let few = first_calls(4);
+    assert!(few[3] <= 150.0, "four nodes ask at once: {few:?}");
+    let many = first_calls(200);
+    let busiest = many.iter().map(|t| many.iter().filter(|u| (*t..t + 1000.0).contains(*u)).count()).max();
+    assert!(busiest < Some(80), "{busiest:?} calls within a second");
+    assert!(many[199] <= 5000.0, "and none so late that it counts as deaf");
+}
+
+#[test]
+fn a_big_fleet_repeats_failed_list_calls_so_seldom_that_discovery_can_clear_its_queue() {
+    let gaps = |instances: u32| {
+        let s = Settings { discovery: Discovery::OnRequest, instances, ..settings() };
+        let mut w = World::new(s, 1);
+        let mut ends = Vec::new();
+        for _ in 0..6 {
+            let (known, from) = (w.watches.len(), w.now);
+            while w.watches.len() == known {
+                w.wait(5.0);
+                assert!(w.now - from < 30_000.0, "no call any more");
+            }
+            ends.push(w.now);
+            w.list(ListKind::Failed, Vec::new());
+        }
+        ends.windows(2).map(|e| e[1] - e[0]).collect::<Vec<f64>>()
+    };
+    assert!(gaps(4).iter().all(|g| *g <= 5010.0), "{:?}", gaps(4));
+    for instances in [100, 200] {
+        let least = 25.0 * f64::from(instances);
+        let gaps = gaps(instances);
+        assert!(gaps.iter().all(|g| *g >= least), "a call each {least} ms at most: {gaps:?}");
+        assert!(gaps.iter().all(|g| *g <= 20_010.0), "{gaps:?}");
+        assert!(gaps[3] > 1.2 * gaps[0], "it backs off: {gaps:?}");
+    }
+}
+
 #[test]
 fn unusable_settings_are_a_typed_error() {
     let none = Settings { classes: vec![], ..settings() };
