Measure the cold budget by the most that warm backends were seen to serve

At fault: warm_rate in Balancer::on_tick took what a warm backend serves at present for what it can: a mean over five seconds that is still low when load shifts to fewer backends, and falls when they time out. From that the budget takes three deviations off, which at this size is most of it. Now the most that was seen counts, over two seconds, and fades within a cold time.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -336,8 +336,10 @@
     pressure: f64,
     /// Mean pressure above which the fleet is too full.
     full_at: f64,
-    /// Requests a second served by a warm backend for this node.
+    /// The most requests a second that a warm backend was lately seen to serve for this node, and what it
+    /// serves now.
     warm_rate: f64,
+    warm_now: f64,
     warm_count: f64,
     ticked: f64,
     ask_failures: u32,
@@ -386,6 +388,7 @@
             pressure: 0.0,
             full_at: FILLING,
             warm_rate: 0.0,
+            warm_now: 0.0,
             warm_count: 0.0,
             ticked: 0.0,
             ask_failures: 0,
@@ -550,13 +553,17 @@
         out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
         let cold = |b: &Backend| now - b.cold_since < self.s.cold_ms;
         let any_cold = self.backends.iter().any(|b| b.up && cold(b));
-        // What a warm backend serves for this node: the yardstick of the cold budget.
+        // What a warm backend can serve for this node is the yardstick of the cold budget. What it serves
+        // now may be less, where little is asked or where time-outs are all that a crowd leaves of it: the
+        // most that was seen counts, and fades within a cold time.
         let warm = self.backends.iter().filter(|b| b.up && !b.record.congested && !cold(b)).count();
-        let keep = (-seconds / 5.0_f64).exp();
+        let keep = (-seconds / 2.0_f64).exp();
         if warm > 0 {
             let rate = self.warm_count / seconds / warm as f64;
-            self.warm_rate = self.warm_rate * keep + rate * (1.0 - keep);
+            self.warm_now = self.warm_now * keep + rate * (1.0 - keep);
         }
+        self.warm_rate =
+            (self.warm_rate * (-seconds * 1000.0 / self.s.cold_ms.max(1.0)).exp()).max(self.warm_now);
         self.warm_count = 0.0;
         if any_cold {
             for i in 0..self.backends.len() {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -566,6 +566,31 @@
     assert!((sent as f64) < most, "{sent} sent in {seconds} s, {most} allowed");
 }
 
+#[test]
+fn a_lull_does_not_make_backends_look_small_to_the_cold_budget() {
+    // Sends to a fresh start within three seconds, of 300 asked, in twenty worlds.
+    let classes = vec![class(400.0, 1000.0, Effect::Safe)];
+    let sent = |lull: u64| {
+        let mut sent = 0;
+        for seed in 0..20 {
+            let mut w = World::with_backends(Settings { classes: classes.clone(), ..settings() }, seed, 4);
+            w.warm_up(600, 0, 10.0);
+            w.warm_up(lull, 0, 100.0);
+            let fresh = Entry { ready_at_ms: w.now, ..up(9) };
+            w.list(ListKind::Changes, vec![fresh]);
+            for n in 0..300 {
+                let id = w.ask(0, Some(n));
+                sent += usize::from(w.at(id) == Some(fresh.backend));
+                w.wait(10.0);
+                w.end(id, Outcome::Done);
+            }
+        }
+        sent
+    };
+    let (at_once, after) = (sent(0), sent(60));
+    assert!(100 * after >= 65 * at_once, "{after} sent after six seconds of little, {at_once} without");
+}
+
 #[test]
 fn a_whole_list_going_empty_or_stale_refuses_and_recovers() {
     let mut w = safe(5);
