Keep idle connections when dead backends fill the list

At fault: Balancer::connections counted refusals over all backends together, so it cannot tell a full table from a gone backend. The mechanism is gone; a full table is still answered by the failure record.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -329,9 +329,6 @@
     fleet_failing: f64,
     /// Attempts that are out.
     in_flight: u32,
-    /// Share of recent attempts that found no connection, and until when connections are held to be scarce.
-    unconnected: f64,
-    scarce_until: f64,
     /// Mean pressure that answers report, over all backends.
     pressure: f64,
     /// Mean pressure above which the fleet is too full.
@@ -383,8 +380,6 @@
             tally: Tally::default(),
             fleet_failing: 0.0,
             in_flight: 0,
-            unconnected: 0.0,
-            scarce_until: 0.0,
             pressure: 0.0,
             full_at: FILLING,
             warm_rate: 0.0,
@@ -1005,7 +1000,6 @@
         if let Some(i) = self.find(backend) {
             self.backends[i].in_flight = self.backends[i].in_flight.saturating_sub(1);
             self.close_idle(now, i, out);
-            self.connections(now, i, outcome, out);
             // A backend that fails or refuses fast looks idle: its failures count as full pressure, but only
             // where answers bring reports, which alone lower it again.
             let heard = match outcome {
@@ -1057,29 +1051,6 @@
         }
     }
 
-    /// Where attempts find no connection at large, backends hold all that they accept, most of them idle ones
-    /// of nodes that seldom call: then none is kept that carries nothing. Holds against any growth in nodes;
-    /// it costs a handshake a request, so a few dead backends must not bring it about.
-    fn connections(&mut self, now: f64, index: usize, outcome: Outcome, out: &mut Vec<Action>) {
-        if outcome == Outcome::Skipped {
-            return;
-        }
-        let failed = f64::from(u8::from(outcome == Outcome::NotConnected));
-        self.unconnected += 0.02 * (failed - self.unconnected);
-        if self.unconnected > SCARCE {
-            if now >= self.scarce_until {
-                out.push(Action::Log("connections are scarce: idle ones are given back".to_owned()));
-                out.extend(
-                    self.backends.iter().filter(|b| b.in_flight == 0).map(|b| Action::Release(b.id)),
-                );
-            }
-            self.scarce_until = now + self.s.conn_idle_ms;
-        }
-        if now < self.scarce_until && self.backends[index].in_flight == 0 {
-            out.push(Action::Release(self.backends[index].id));
-        }
-    }
-
     /// What an attempt's end says of its backend and of the fleet.
     fn learn(
         &mut self,
@@ -1221,8 +1192,6 @@
 }
 /// Mean reported pressure from which admission holds it for strain.
 const FILLING: f64 = 0.85;
-/// Share of attempts without a connection from which connections are scarce.
-const SCARCE: f64 = 0.15;
 /// Pressure up to which a backend is at ease.
 const AT_EASE: f64 = 0.6;
 /// Odds that the less pressed of two candidates is taken, by unit of difference: all of them from 0.4 on.
