Tell the other nodes of failures where each meets a backend seldom

One node meets a backend once in four seconds, within a window of 4.5 s: it never has more failures than M there. The fleet has them within a fifth of a second.

Ruled out: probes as such (two a second). Trials by request after an answered probe: no gain, undone; most bad backends are slow, not dead.

At fault: Balancer::learn judged a backend by this node's own ends alone. A node to which a warm backend answers fewer than eight requests within the window now tells each failure, and answers where three in ten failed; three of four failing trip it at every node. Nothing is told while failures are everywhere. How trials end is told too, and trials after a trip are spread 20 ms a node, so that one probe spares the others.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,6 +8,7 @@
     Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
     Reporting, Request, RequestId, Settings, SettingsError,
 };
+use crate::news::News;
 use crate::tally::{Stop, Tally};
 use std::collections::HashMap;
 
@@ -41,11 +42,16 @@
     }
 
     fn note(&mut self, now: f64, window: f64, failed: bool) {
+        self.hear(now, window, failed);
+        self.doubt = if failed { self.doubt.saturating_add(1) } else { 0 };
+    }
+
+    /// Takes in an end of an attempt, at this node or another.
+    fn hear(&mut self, now: f64, window: f64, failed: bool) {
         self.turn(now, window);
         let bucket = &mut self.buckets[(self.slot % BUCKETS as u64) as usize];
         bucket.0 = bucket.0.saturating_add(u16::from(failed));
         bucket.1 = bucket.1.saturating_add(1);
-        self.doubt = if failed { self.doubt.saturating_add(1) } else { 0 };
     }
 
     fn sums(&self) -> (f64, f64) {
@@ -413,10 +419,12 @@
             Event::Timer(ASK) => out.push(Action::Watch(true)),
             Event::Probed { backend, outcome, .. } => {
                 if let Some(i) = self.find(backend).filter(|&i| self.backends[i].record.trial_out) {
-                    self.trial_over(now, i, outcome == Outcome::Done, out);
+                    let live = outcome == Outcome::Done;
+                    self.trial_over(now, i, if live { News::Live } else { News::TrialFailed }, out);
                 }
             }
-            Event::Timer(_) | Event::Started { .. } | Event::Message { .. } => {}
+            Event::Message { bytes, .. } => self.on_news(now, &bytes, out),
+            Event::Timer(_) | Event::Started { .. } => {}
         }
     }
 
@@ -435,7 +443,16 @@
     fn pause(&mut self, failed_trials: u32) -> f64 {
         let most = (self.s.cold_ms / 4.0).max(self.longest_aim());
         let t = (self.longest_aim() * f64::from(1_u32 << failed_trials.min(6))).min(most);
-        t * (0.75 + 0.5 * self.rng.f64())
+        // Nodes that tell each other trip together: whoever tries first spares the others their trial.
+        let spread = if self.seldom() { TRIAL_SPACING * f64::from(self.s.instances) } else { 0.0 };
+        t * (0.75 + 0.5 * self.rng.f64()) + spread * self.rng.f64()
+    }
+
+    /// Whether one node meets a backend too seldom to learn of it alone. Then nodes tell each other.
+    fn seldom(&self) -> bool {
+        self.s.peer_messages
+            && self.s.instances > 1
+            && self.warm_rate * self.window() / 1000.0 < ENOUGH_VISITS
     }
 
     /// Housekeeping comes ten times within a fall window or so, never faster than twenty batches.
@@ -580,9 +597,10 @@
         // Trials by probe, one at a time, for backends past their PRAT.
         if self.s.probes {
             for i in 0..self.backends.len() {
-                if self.backends[i].up && self.backends[i].record.trial_due(now) {
-                    self.backends[i].record.trial_out = true;
-                    out.push(Action::Probe(self.backends[i].id));
+                let b = &mut self.backends[i];
+                if b.up && b.record.trial_due(now) {
+                    b.record.trial_out = true;
+                    out.push(Action::Probe(b.id));
                 }
             }
         }
@@ -1018,7 +1036,7 @@
                     o => {
                         let silent =
                             matches!(o, Outcome::TimedOut | Outcome::NotConnected | Outcome::Reset);
-                        self.trial_over(now, i, !silent, out);
+                        self.trial_over(now, i, if silent { News::TrialFailed } else { News::Live }, out);
                     }
                 }
             } else if !own_stall {
@@ -1119,17 +1137,28 @@
         if !matches!(outcome, Outcome::Done) && !failed {
             return;
         }
+        let (failures, tries) = b.record.sums();
         b.record.note(now, window, failed);
-        if !failed {
-            return;
+        if failed {
+            self.tell_all(News::Failed, i, out);
+            self.judge(now, i, out);
+        } else if failures > TOLD_ANSWERS * tries {
+            self.tell_all(News::Answered, i, out);
         }
-        let (failures, tries) = b.record.sums();
+    }
+
+    /// Marks a backend congested if it has failed too often.
+    fn judge(&mut self, now: f64, i: usize, out: &mut Vec<Action>) {
+        let record = &self.backends[i].record;
+        let (failures, tries) = record.sums();
         // M grows with traffic and with what the whole fleet suffers: a shared failure says little of one.
-        let most = 1.0 + tries * (0.25 + 3.0 * self.fleet_failing);
+        // Where nodes tell each other, it is for what serves hardly anybody: a crowded backend still serves some.
+        let part = 0.25 + 3.0 * self.fleet_failing;
+        let most = 1.0 + tries * if self.seldom() { part.max(TOLD_FAILING) } else { part };
         // A backend that has just fallen silent has a window full of old answers: a run of failures
         // that chance would bring once in two hundred trips it too.
         let run = 1.0 + 0.005_f64.ln() / self.fleet_failing.clamp(0.02, 0.95).ln();
-        if !b.record.congested && (failures > most || f64::from(b.record.doubt) > run) {
+        if !record.congested && (failures > most || f64::from(record.doubt) > run) {
             let t = self.pause(0);
             let b = &mut self.backends[i];
             b.record.congested = true;
@@ -1140,12 +1169,40 @@
         }
     }
 
-    fn trial_over(&mut self, now: f64, i: usize, success: bool, out: &mut Vec<Action>) {
+    /// Tells the other nodes what each of them would otherwise have to find out by itself.
+    fn tell_all(&self, news: News, i: usize, out: &mut Vec<Action>) {
+        if self.seldom() && self.fleet_failing < SHARED_FAILING {
+            out.push(Action::Tell { to: None, bytes: news.to_bytes(self.backends[i].id) });
+        }
+    }
+
+    /// Another node's news; what cannot be read, or is of a backend that is not listed here, changes nothing.
+    fn on_news(&mut self, now: f64, bytes: &[u8], out: &mut Vec<Action>) {
+        let Some((news, short)) = News::read(bytes) else { return };
+        let Some(i) = self.backends.iter().position(|b| b.id.short() == short) else { return };
+        let window = self.window();
+        let congested = self.backends[i].record.congested;
+        match news {
+            News::TrialFailed | News::Live if congested => self.settle(now, i, news, out),
+            News::Failed | News::Answered if !congested && self.seldom() => {
+                self.backends[i].record.hear(now, window, matches!(news, News::Failed));
+                self.judge(now, i, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn trial_over(&mut self, now: f64, i: usize, news: News, out: &mut Vec<Action>) {
+        self.tell_all(news, i, out);
+        self.backends[i].record.trial_out = false;
+        self.settle(now, i, news, out);
+    }
+
+    fn settle(&mut self, now: f64, i: usize, news: News, out: &mut Vec<Action>) {
         let failed_trials = self.backends[i].record.failed_trials;
         let t = self.pause(failed_trials + 1);
         let b = &mut self.backends[i];
-        b.record.trial_out = false;
-        if !success {
+        if matches!(news, News::TrialFailed) {
             b.record.failed_trials += 1;
             b.record.prat = now + t;
             return;
@@ -1177,6 +1234,16 @@
     if age >= s.cold_ms { 1.0 } else { start + (1.0 - start) * (age / s.cold_ms).clamp(0.0, 1.0) }
 }
 
+/// Part of all attempts that fail from which a failure says nothing of one backend.
+const SHARED_FAILING: f64 = 0.12;
+/// Part of attempts that fail at a backend whose answers are news too.
+const TOLD_ANSWERS: f64 = 0.3;
+/// Part of attempts that fail at a backend which serves hardly anybody.
+const TOLD_FAILING: f64 = 0.75;
+/// Answers of a backend within the failure window from which a node learns of it alone.
+const ENOUGH_VISITS: f64 = 8.0;
+/// Time between the trials of nodes that tripped together: about what a message takes.
+const TRIAL_SPACING: f64 = 20.0;
 /// Time that discovery, one service for all nodes, is left for each node's call.
 const ASK_SPACING: f64 = 25.0;
 /// Cap of a backend that answers nothing but errors: a request every thirty usual times shows when it mends.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,6 +10,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BackendId(pub u64);
 
+impl BackendId {
+    /// Enough of it to tell listed backends apart in a short message.
+    pub fn short(self) -> u32 {
+        (self.0 >> 32) as u32
+    }
+}
+
 /// Identity of one client request (one try of a client).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,6 +41,7 @@
 
 pub mod balance;
 pub mod interface;
+mod news;
 mod tally;
 pub mod wire;
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -656,6 +656,98 @@
     assert!(w.released.is_empty(), "{:?}", w.released);
 }
 
+// ---- what nodes tell each other ----
+
+const FAILED: u8 = 1;
+const ANSWERED: u8 = 2;
+const TRIAL_FAILED: u8 = 3;
+const LIVE: u8 = 4;
+
+fn told(w: &mut World, news: u8, backend: BackendId) {
+    let bytes = [&[news][..], &backend.short().to_be_bytes()].concat();
+    w.feed(Event::Message { from: 7, bytes });
+}
+
+fn congested(w: &World) -> usize {
+    w.logs.iter().filter(|l| l.starts_with("congested")).count()
+}
+
+/// One node of many, which meets each of 60 backends seldom.
+fn one_of(instances: u32) -> World {
+    let mut w = World::with_backends(Settings { peer_messages: true, instances, ..settings() }, 1, 60);
+    w.warm_up(60, 0, 60.0);
+    w
+}
+
+#[test]
+fn what_fails_at_other_nodes_of_a_big_fleet_trips_a_backend_here() {
+    let mut w = one_of(100);
+    let bad = up(1).backend;
+    for _ in 0..8 {
+        w.wait(20.0);
+        told(&mut w, FAILED, bad);
+    }
+    assert_eq!(congested(&w), 1, "{:?}", w.logs);
+    let sent_there = |w: &mut World| {
+        (0..300)
+            .filter(|n| {
+                let id = w.ask(0, Some(*n));
+                let at = w.at(id);
+                w.end(id, Outcome::Done);
+                at == Some(bad)
+            })
+            .count()
+    };
+    assert_eq!(sent_there(&mut w), 0);
+    // Another node's trial spares this one its own, and another's answer makes it live here too.
+    told(&mut w, TRIAL_FAILED, bad);
+    w.wait(300.0);
+    assert!(w.probes.is_empty(), "the next trial is put off");
+    told(&mut w, LIVE, bad);
+    assert!(w.logs.iter().any(|l| l.starts_with("live")), "{:?}", w.logs);
+}
+
+#[test]
+fn a_backend_that_still_answers_other_nodes_is_not_tripped_by_their_failures() {
+    let mut w = one_of(100);
+    for n in 0..200 {
+        w.wait(10.0);
+        told(&mut w, if n % 2 == 0 { ANSWERED } else { FAILED }, up(1).backend);
+    }
+    assert_eq!(congested(&w), 0, "{:?}", w.logs);
+}
+
+#[test]
+fn a_node_of_a_big_fleet_tells_the_others_of_a_failure_and_one_of_a_small_fleet_does_not() {
+    for (instances, tells) in [(100, true), (4, false)] {
+        let mut w = one_of(instances);
+        if !tells {
+            // It meets each backend often enough to learn alone.
+            w.warm_up(3000, 0, 2.0);
+        }
+        w.trace.clear();
+        let id = w.ask(0, Some(1));
+        let at = w.at(id).expect("sent");
+        w.end(id, Outcome::Reset);
+        let wanted = Action::Tell { to: None, bytes: [&[FAILED][..], &at.short().to_be_bytes()].concat() };
+        assert_eq!(w.trace.contains(&wanted), tells, "{instances} nodes: {:?}", w.trace);
+    }
+}
+
+#[test]
+fn strange_messages_change_nothing() {
+    let mut w = one_of(100);
+    let backend = up(1).backend.short().to_be_bytes();
+    w.trace.clear();
+    for _ in 0..50 {
+        for bytes in [vec![], vec![FAILED], vec![200, 1, 2, 3, 4], vec![FAILED, 1, 2, 3, 4], vec![1; 256]] {
+            w.feed(Event::Message { from: 7, bytes });
+        }
+        w.feed(Event::Message { from: 7, bytes: [&backend[..], &[FAILED]].concat() });
+    }
+    assert!(w.trace.is_empty(), "{:?}", w.trace);
+}
+
 // ---- bad input ----
 
 #[test]
