--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1152,7 +1152,7 @@
         let record = &self.backends[i].record;
         let (failures, tries) = record.sums();
         // M grows with traffic and with what the whole fleet suffers: a shared failure says little of one.
-        // Where nodes tell each other, it is for what serves hardly anybody: a crowded backend still serves some.
+        // Where nodes tell each other, it is for what serves hardly anybody: the crowded still serve some.
         let part = 0.25 + 3.0 * self.fleet_failing;
         let most = 1.0 + tries * if self.seldom() { part.max(TOLD_FAILING) } else { part };
         // A backend that has just fallen silent has a window full of old answers: a run of failures
