--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -12,6 +12,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call.
+    pub operator: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// Seed of the decisions.
@@ -136,6 +138,7 @@
         Ok(Config {
             name: text(json, "name", Some("LB_NAME"))?.unwrap_or_default(),
             listen,
+            operator: address_of(json, "operator", Some("LB_OPERATOR"))?,
             discovery,
             seed,
             sockets,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,17 +5,20 @@
 
 use crate::log;
 use crate::peers::Peers;
+use crate::state::State;
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
     Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
 };
+use birchspoke::wire::stable_hash;
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
@@ -114,6 +117,8 @@
     Start,
     /// News of the list.
     List(ListKind, Vec<Target>),
+    /// These backends, and no others, are out by the operators' word.
+    Cordoned(BTreeMap<BackendId, String>),
     /// A client's request.
     Arrived(Request, Rc<Call>, Owed),
     /// The client is gone, or needs nothing any more.
@@ -171,6 +176,17 @@
     }
 }
 
+/// Why a call that takes a backend out or puts it back is turned down.
+#[derive(Debug, Error)]
+pub enum CordonError {
+    /// Neither listed nor out.
+    #[error("no backend {0:?} is known")]
+    Unknown(String),
+    /// It would not outlive this process.
+    #[error("nothing changed, it cannot be stored: {0}")]
+    Unstored(#[from] std::io::Error),
+}
+
 struct Place {
     address: SocketAddr,
     up: bool,
@@ -181,6 +197,10 @@
     balancer: Balancer,
     open: HashMap<RequestId, Open>,
     places: HashMap<BackendId, Place>,
+    /// What discovery lists, whoever is out.
+    listed: HashMap<BackendId, Target>,
+    /// Who is out by the operators' word, whatever is listed.
+    cordoned: BTreeMap<BackendId, String>,
 }
 
 /// Events in, actions out.
@@ -191,6 +211,7 @@
     pub clock: Clock,
     upstream: Rc<Upstream>,
     peers: Option<Rc<Peers>>,
+    state: Rc<State>,
     watch: mpsc::UnboundedSender<bool>,
     probe_path: &'static str,
     next: Cell<u64>,
@@ -203,14 +224,22 @@
         reporting: Reporting,
         upstream: Rc<Upstream>,
         peers: Option<Rc<Peers>>,
+        state: Rc<State>,
         watch: mpsc::UnboundedSender<bool>,
     ) -> Rc<Driver> {
         Rc::new(Driver {
-            core: RefCell::new(Core { balancer, open: HashMap::new(), places: HashMap::new() }),
+            core: RefCell::new(Core {
+                balancer,
+                open: HashMap::new(),
+                places: HashMap::new(),
+                listed: HashMap::new(),
+                cordoned: state.cordoned(),
+            }),
             inbox: RefCell::default(),
             clock: Clock::new(),
             upstream,
             peers,
+            state,
             watch,
             probe_path: if reporting == Reporting::None { "/alive" } else { "/metrics/load" },
             next: Cell::new(0),
@@ -253,6 +282,38 @@
         self.core.borrow().places.values().any(|p| p.up)
     }
 
+    /// A list of backends is known.
+    pub fn listed(&self) -> bool {
+        !self.core.borrow().listed.is_empty()
+    }
+
+    /// Takes a backend out: from here on it counts as draining, whatever is listed.
+    pub fn cordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
+        let id = self.known(uid)?;
+        self.state.cordon(uid)?;
+        let mut cordoned = self.core.borrow().cordoned.clone();
+        cordoned.insert(id, uid.to_owned());
+        self.take(Input::Cordoned(cordoned));
+        Ok(format!("{uid} is out{}", if self.state.lasts() { "" } else { ", until this process ends" }))
+    }
+
+    /// Puts a backend back: from here on it is what discovery lists it as.
+    pub fn uncordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
+        let id = self.known(uid)?;
+        self.state.uncordon(uid)?;
+        let mut cordoned = self.core.borrow().cordoned.clone();
+        let was_out = cordoned.remove(&id).is_some();
+        self.take(Input::Cordoned(cordoned));
+        Ok(format!("{uid} {}", if was_out { "is back" } else { "was not out" }))
+    }
+
+    fn known(&self, uid: &str) -> Result<BackendId, CordonError> {
+        let id = BackendId(stable_hash(uid));
+        let core = self.core.borrow();
+        let known = core.listed.contains_key(&id) || core.cordoned.contains_key(&id);
+        if known { Ok(id) } else { Err(CordonError::Unknown(uid.to_owned())) }
+    }
+
     /// The one way in. What comes up while an event is handled waits for its end.
     pub fn take(self: &Rc<Self>, input: Input) {
         self.inbox.borrow_mut().push_back(input);
@@ -398,8 +459,20 @@
         Some(match input {
             Input::Start => Event::Start,
             Input::List(kind, targets) => {
-                self.list(kind, &targets, upstream);
-                Event::List { kind, entries: targets.into_iter().map(|t| t.entry).collect() }
+                self.note_listed(kind, &targets);
+                self.list(kind, targets, upstream)
+            }
+            Input::Cordoned(cordoned) => {
+                let before = std::mem::replace(&mut self.cordoned, cordoned);
+                let moved = self.listed.values().filter(|t| {
+                    let id = &t.entry.backend;
+                    before.contains_key(id) != self.cordoned.contains_key(id)
+                });
+                let moved: Vec<Target> = moved.copied().collect();
+                if moved.is_empty() {
+                    return None;
+                }
+                self.list(ListKind::Changes, moved, upstream)
             }
             Input::Arrived(request, call, owed) => {
                 let (attempts, course) = (Vec::new(), Vec::new());
@@ -455,7 +528,31 @@
         }
     }
 
-    fn list(&mut self, kind: ListKind, targets: &[Target], upstream: &Upstream) {
+    fn note_listed(&mut self, kind: ListKind, targets: &[Target]) {
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            self.listed.clear();
+        }
+        for target in targets {
+            if target.entry.health == Health::Gone {
+                self.listed.remove(&target.entry.backend);
+            } else {
+                self.listed.insert(target.entry.backend, *target);
+            }
+        }
+    }
+
+    /// Takes in a list as the operators' word leaves it: who is out counts as draining.
+    fn list(&mut self, kind: ListKind, mut targets: Vec<Target>, upstream: &Upstream) -> Event {
+        for Target { entry, .. } in &mut targets {
+            if entry.health == Health::Up && self.cordoned.contains_key(&entry.backend) {
+                entry.health = Health::Draining;
+            }
+        }
+        self.place(kind, &targets, upstream);
+        Event::List { kind, entries: targets.into_iter().map(|t| t.entry).collect() }
+    }
+
+    fn place(&mut self, kind: ListKind, targets: &[Target], upstream: &Upstream) {
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             // Whoever the whole list leaves out is gone.
             for place in self.places.values_mut() {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -4,21 +4,26 @@
 mod discovery;
 mod driver;
 mod log;
+mod operator;
 mod peers;
 mod server;
 mod socket;
+mod state;
 mod upstream;
 
 use crate::config::Config;
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
+use crate::operator::Operator;
 use crate::peers::Peers;
 use crate::server::Server;
 use crate::socket::Descriptors;
+use crate::state::State;
 use crate::upstream::Upstream;
 use birchspoke::Balancer;
 use birchspoke::interface::ListKind;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -38,19 +43,25 @@
 /// Time for those failures to be written.
 const FAREWELL: Duration = Duration::from_millis(100);
 
-fn listen(config: &Config) -> std::io::Result<TcpListener> {
-    let socket = if config.listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
-    socket.bind(config.listen)?;
+    socket.bind(at)?;
     socket.listen(BACKLOG)
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener = listen(&config).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let operators = match config.operator {
+        Some(at) => Some(listen(at).map_err(|e| format!("operator: {at}: {e}"))?),
+        None => None,
+    };
+    let state = Rc::new(State::open(config.listen));
     let settings = config.settings.clone();
-    let descriptors = Descriptors::new(config.sockets);
+    let reserved = if operators.is_some() { operator::DESCRIPTORS } else { 0 };
+    let descriptors = Descriptors::new(config.sockets.saturating_sub(reserved));
     let upstream = Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
@@ -61,7 +72,8 @@
     };
     let balancer = Balancer::new(config.settings, config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(balancer, settings.reporting, upstream.clone(), peers.clone(), wish);
+    let driver =
+        Driver::new(balancer, settings.reporting, upstream.clone(), peers.clone(), state.clone(), wish);
     let names = Rc::new(config.names);
     driver.take(Input::Start);
     let known = discovery::listing(&config.known, &names);
@@ -110,8 +122,15 @@
         names,
         settings.classes.clone(),
         settings.open_cap as usize,
-        descriptors,
+        descriptors.clone(),
     );
+    for uid in state.cordoned().values() {
+        log::line(&format!("{uid} is out by an operator's word, given before this start"));
+    }
+    if let Some(listener) = operators {
+        let operator = Operator { driver: driver.clone(), server: server.clone(), descriptors };
+        spawn_local(Rc::new(operator).listen(listener));
+    }
     log::line(&format!("{} serves on {}", config.name, config.listen));
     log::line(&format!("settings: {settings:?}"));
     let accepting = {
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -54,6 +54,8 @@
 const FRESH: Duration = Duration::from_millis(500);
 /// Under pressure, a client that has not gone on with a request for so long is in the others' way.
 const STUCK: Duration = Duration::from_millis(1000);
+/// How often a node that sends clients away looks for idle ones.
+const CLOSE_EVERY: Duration = Duration::from_millis(20);
 /// After the notice to stop: new connections come for up to 0.4 s, and a margin; then until none has come
 /// for a moment.
 const ACCEPT_ON: Duration = Duration::from_millis(700);
@@ -152,6 +154,16 @@
     }
 }
 
+/// What the node is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    Serving,
+    /// Sends clients away, until told otherwise.
+    Quiesced,
+    /// Since then, for good.
+    Stopping(Instant),
+}
+
 /// The client side of the node.
 pub struct Server {
     driver: Rc<Driver>,
@@ -161,7 +173,7 @@
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
-    stopping: Cell<Option<Instant>>,
+    mode: Cell<Mode>,
     stop: Notify,
     closed: Notify,
 }
@@ -183,7 +195,7 @@
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
             next: Cell::new(0),
-            stopping: Cell::new(None),
+            mode: Cell::new(Mode::Serving),
             stop: Notify::new(),
             closed: Notify::new(),
         });
@@ -219,7 +231,7 @@
         let mut last = Instant::now();
         loop {
             let quiet_at =
-                self.stopping.get().map(|at| (at + ACCEPT_ON).max(last + QUIET).min(at + ACCEPT_END));
+                self.stopping().map(|at| (at + ACCEPT_ON).max(last + QUIET).min(at + ACCEPT_END));
             let quiet = async {
                 match quiet_at {
                     Some(at) => tokio::time::sleep_until(at.into()).await,
@@ -254,16 +266,61 @@
     pub async fn wind_down(self: &Rc<Self>, end: Instant) {
         while Instant::now() < end && !self.clients.borrow().is_empty() {
             self.close_idle();
-            let _ = tokio::time::timeout(Duration::from_millis(20), self.closed.notified()).await;
+            let _ = tokio::time::timeout(CLOSE_EVERY, self.closed.notified()).await;
         }
     }
 
-    /// From now on every answer closes its connection.
+    /// From now on every answer closes its connection, until the process ends.
     pub fn stop(&self) {
-        self.stopping.set(Some(Instant::now()));
+        self.mode.set(Mode::Stopping(Instant::now()));
         self.stop.notify_one();
     }
 
+    fn stopping(&self) -> Option<Instant> {
+        match self.mode.get() {
+            Mode::Stopping(since) => Some(since),
+            Mode::Serving | Mode::Quiesced => None,
+        }
+    }
+
+    /// Whether clients are taken, in words.
+    pub fn health(&self) -> Result<&'static str, &'static str> {
+        match self.mode.get() {
+            Mode::Serving => Ok("serving"),
+            Mode::Quiesced => Ok("quiesced, serves who still comes"),
+            Mode::Stopping(_) => Err("this process is stopping"),
+        }
+    }
+
+    /// Sends clients away: `/up` says no, every answer closes its connection, idle ones are closed.
+    pub fn quiesce(self: &Rc<Self>) -> Result<String, &'static str> {
+        match self.mode.get() {
+            Mode::Stopping(_) => return Err("this process is stopping"),
+            Mode::Quiesced => {}
+            Mode::Serving => {
+                self.mode.set(Mode::Quiesced);
+                let server = self.clone();
+                spawn_local(async move {
+                    while server.mode.get() == Mode::Quiesced {
+                        server.close_idle();
+                        tokio::time::sleep(CLOSE_EVERY).await;
+                    }
+                });
+            }
+        }
+        Ok(format!("quiesced, {} connections of clients are open", self.clients.borrow().len()))
+    }
+
+    /// Ends that: `/up` says yes again.
+    pub fn resume(&self) -> Result<String, &'static str> {
+        match self.mode.get() {
+            Mode::Stopping(_) => return Err("this process is stopping"),
+            Mode::Quiesced => self.mode.set(Mode::Serving),
+            Mode::Serving => {}
+        }
+        Ok("serving".to_owned())
+    }
+
     fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
         let socket = Socket::new(stream, slot);
         let client = Rc::new(Client {
@@ -333,12 +390,12 @@
         } else if path != "/up" {
             self.turn_away(until, body, StatusCode::NOT_FOUND, "no such path\n").await
         } else if matches!(head.method, Method::GET | Method::HEAD) {
-            let ready = self.driver.ready() && self.stopping.get().is_none();
+            let ready = self.driver.ready() && self.mode.get() == Mode::Serving;
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
             self.turn_away(until, body, StatusCode::METHOD_NOT_ALLOWED, "").await
         };
-        if self.stopping.get().is_some() {
+        if self.mode.get() != Mode::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -312,6 +312,7 @@
 /// A running node; it is killed when dropped.
 pub struct Node {
     pub address: SocketAddr,
+    pub operator: SocketAddr,
     child: Child,
     file: std::path::PathBuf,
     config: Value,
@@ -327,9 +328,9 @@
 
     /// Starts one by a shell command in which `$0` is the program.
     pub fn launch(discovery: SocketAddr, change: impl FnOnce(&mut Value), command: &str) -> Node {
-        let address = free_address();
+        let (address, operator) = (free_address(), free_address());
         let mut config = json!({
-            "name": "n0", "listen": address.to_string(), "discovery": discovery.to_string(),
+            "name": "n0", "listen": address.to_string(), "operator": operator.to_string(), "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"rev": 0, "all": true, "targets": []}, "settings": settings()
         });
@@ -341,10 +342,16 @@
             .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
             .env("LB_CONFIG", &file)
             .env("LB_DISCOVERY", discovery.to_string())
+            .env_remove("TMPDIR")
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        Node { address, child, file, config }
+        Node { address, operator, child, file, config }
+    }
+
+    /// What an operator is answered.
+    pub fn call(&self, call: &str) -> String {
+        operator(self.operator, format!("{call}\n").as_bytes())
     }
 
     pub fn up(&self) -> u16 {
@@ -453,6 +460,25 @@
     }
 }
 
+/// What an operator is answered who sends this, whether it is a call or not.
+pub fn operator(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(bytes).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+/// An empty directory of this test's own.
+pub fn scratch(name: &str) -> std::path::PathBuf {
+    let dir = std::env::temp_dir().join(format!("applemill-test-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).unwrap();
+    dir
+}
+
 /// One request on a connection of its own.
 pub fn attempt(address: SocketAddr, bytes: &[u8]) -> Option<Message> {
     let mut client = Client::try_connect(address)?;
