--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -215,6 +215,7 @@
     watch: mpsc::UnboundedSender<bool>,
     probe_path: &'static str,
     next: Cell<u64>,
+    heard: Cell<bool>,
 }
 
 impl Driver {
@@ -243,6 +244,7 @@
             watch,
             probe_path: if reporting == Reporting::None { "/alive" } else { "/metrics/load" },
             next: Cell::new(0),
+            heard: Cell::new(false),
         })
     }
 
@@ -287,6 +289,31 @@
         !self.core.borrow().listed.is_empty()
     }
 
+    /// Discovery has answered, if only to say that it cannot.
+    pub fn heard(&self) -> bool {
+        self.heard.get()
+    }
+
+    /// These backends are out, and no others, as another process of this node may have been told.
+    pub fn cordoned(self: &Rc<Self>, cordoned: BTreeMap<BackendId, String>) {
+        let changes: Vec<String> = {
+            let known = &self.core.borrow().cordoned;
+            let out = cordoned
+                .iter()
+                .filter(|(id, _)| !known.contains_key(id))
+                .map(|(_, u)| format!("{u} is out"));
+            let back = known
+                .iter()
+                .filter(|(id, _)| !cordoned.contains_key(id))
+                .map(|(_, u)| format!("{u} is back"));
+            out.chain(back).collect()
+        };
+        if !changes.is_empty() {
+            log::line(&format!("upgrade: by the other process's word {}", changes.join(", ")));
+            self.take(Input::Cordoned(cordoned));
+        }
+    }
+
     /// Takes a backend out: from here on it counts as draining, whatever is listed.
     pub fn cordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
         let id = self.known(uid)?;
@@ -316,6 +343,8 @@
 
     /// The one way in. What comes up while an event is handled waits for its end.
     pub fn take(self: &Rc<Self>, input: Input) {
+        self.heard
+            .set(self.heard.get() || matches!(&input, Input::List(kind, _) if *kind != ListKind::Saved));
         self.inbox.borrow_mut().push_back(input);
         let Ok(mut core) = self.core.try_borrow_mut() else { return };
         let mut actions = Vec::new();
--- /dev/null
+++ b/src/node/handover.rs
@@ -0,0 +1,195 @@
+//! Two processes of one node, while one takes over from the other: who lives, and which part of the node's
+//! descriptors each may use.
+
+use crate::driver::Driver;
+use crate::log;
+use crate::socket::Descriptors;
+use crate::state::{Record, Stage, State};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How often a process looks at others; alone, half as often.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time for the old process to make room before the new one takes clients all the same.
+const ROOM_TIME: Duration = Duration::from_millis(1000);
+/// Time for discovery's first word, which may be fresher than the list that is known: the old process serves
+/// meanwhile. Longer where there is no list at all.
+const NEWS_TIME: Duration = Duration::from_millis(500);
+const LIST_TIME: Duration = Duration::from_millis(4500);
+
+/// Where this process stands among those of the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    Alone,
+    /// Another has started since.
+    Older,
+    /// Others were there, and may use so many descriptors.
+    Newer(usize),
+}
+
+/// The descriptors of a node whose one process may count `alone` of them, and keeps `fixed` uncounted.
+#[derive(Clone, Copy, Debug)]
+struct Pool {
+    alone: usize,
+    fixed: usize,
+}
+
+impl Pool {
+    /// What two processes may count together.
+    fn shared(self) -> usize {
+        self.alone.saturating_sub(self.fixed)
+    }
+
+    /// The limit of a process that had `limit` and uses `used`. The older one's only falls: what it gave up
+    /// may be in the newer one's use already.
+    fn limit(self, role: Role, stopping: bool, limit: usize, used: usize) -> usize {
+        let shared = self.shared();
+        let (spare, least) = if stopping { (8, 8) } else { (shared / 8, shared / 4) };
+        match role {
+            Role::Alone => self.alone,
+            Role::Older => (used + spare).max(least).min(shared * 3 / 4).min(limit),
+            Role::Newer(claimed) => shared.saturating_sub(claimed).max(shared / 4),
+        }
+    }
+}
+
+/// This process's part in a handover.
+pub struct Handover {
+    state: Rc<State>,
+    driver: Rc<Driver>,
+    descriptors: Rc<Descriptors>,
+    pool: Pool,
+    stage: Cell<Stage>,
+    told: Cell<Option<Record>>,
+    others: RefCell<Vec<Record>>,
+}
+
+impl Handover {
+    /// A process that does not take clients yet. `fixed` descriptors are uncounted in each process.
+    pub fn new(
+        state: Rc<State>,
+        driver: Rc<Driver>,
+        descriptors: Rc<Descriptors>,
+        fixed: usize,
+    ) -> Rc<Handover> {
+        let pool = Pool { alone: descriptors.limit(), fixed };
+        let stage = Cell::new(Stage::Starting);
+        let others = RefCell::default();
+        let handover = Handover { state, driver, descriptors, pool, stage, told: Cell::new(None), others };
+        handover.look();
+        Rc::new(handover)
+    }
+
+    /// Looks for others for as long as the node lives.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let alone = self.others.borrow().is_empty();
+            tokio::time::sleep(if alone { 2 * LOOK } else { LOOK }).await;
+            self.look();
+        }
+    }
+
+    /// Waits until this process may take clients: at once where no other does, else with a list, and with
+    /// room made for it.
+    pub async fn may_serve(&self) {
+        if self.others.borrow().is_empty() {
+            return;
+        }
+        let begun = Instant::now();
+        loop {
+            let waited = begun.elapsed();
+            let list = self.driver.listed() && (self.driver.heard() || waited > NEWS_TIME);
+            let room = self.claimed() <= self.pool.shared() * 3 / 4 || waited > ROOM_TIME;
+            if (list || waited > LIST_TIME) && room {
+                return;
+            }
+            tokio::time::sleep(LOOK / 5).await;
+            self.look();
+        }
+    }
+
+    /// This process takes clients.
+    pub fn serves(&self) {
+        self.stage.set(Stage::Serving);
+        self.look();
+    }
+
+    /// This process takes none any more. True: a newer one does.
+    pub fn stops(&self) -> bool {
+        self.stage.set(Stage::Stopping);
+        self.look();
+        let own = self.state.record(Stage::Stopping, 0);
+        self.others.borrow().iter().any(|o| o.age > own.age && o.stage == Stage::Serving)
+    }
+
+    fn claimed(&self) -> usize {
+        self.others.borrow().iter().map(|o| o.claim).sum()
+    }
+
+    fn role(&self) -> Role {
+        let own = self.state.record(self.stage.get(), 0);
+        match self.others.borrow().iter().map(|o| o.age).max() {
+            None => Role::Alone,
+            Some(newest) if newest > own.age => Role::Older,
+            Some(_) => Role::Newer(self.claimed()),
+        }
+    }
+
+    fn look(&self) {
+        let others = self.state.others();
+        let before = self.others.replace(others).len();
+        let now = self.others.borrow().len();
+        let role = self.role();
+        let (limit, used) = (self.descriptors.limit(), self.descriptors.used());
+        let stopping = self.stage.get() == Stage::Stopping;
+        let limit = self.pool.limit(role, stopping, limit, used);
+        self.descriptors.set_limit(limit);
+        if before != now {
+            let role = match role {
+                Role::Alone => "alone",
+                Role::Older => "the old process of two",
+                Role::Newer(_) => "the new process of two",
+            };
+            log::line(&format!("upgrade: this is {role}; {limit} descriptors, {used} in use"));
+        }
+        // A call may have reached the other process.
+        if before + now > 0 && self.state.lasts() {
+            self.driver.cordoned(self.state.cordoned());
+        }
+        let record = self.state.record(self.stage.get(), limit.max(used));
+        if self.told.replace(Some(record)) != Some(record) {
+            self.state.tell(record);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const POOL: Pool = Pool { alone: 350, fixed: 34 };
+
+    #[test]
+    fn together_two_processes_stay_within_the_nodes_limit() {
+        let mut old = POOL.alone;
+        let mut used = 300;
+        let mut new = 0;
+        for step in 0..40 {
+            old = POOL.limit(Role::Older, step > 20, old, used);
+            // What the newer one sees is the older one's last word.
+            let claim = old.max(used);
+            new = POOL.limit(Role::Newer(claim), false, new, 0);
+            assert!(used > old || old + new <= POOL.shared(), "step {step}: {old} and {new}");
+            used = used.min(old).saturating_sub(10);
+        }
+        assert!(new > POOL.shared() * 9 / 10, "{new}");
+    }
+
+    #[test]
+    fn what_the_older_one_gave_up_it_takes_back_only_when_alone() {
+        let low = POOL.limit(Role::Older, false, POOL.alone, 10);
+        assert_eq!(POOL.limit(Role::Older, false, low, 200), low);
+        assert_eq!(POOL.limit(Role::Alone, false, low, 200), POOL.alone);
+    }
+}
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod handover;
 mod log;
 mod operator;
 mod peers;
@@ -14,10 +15,11 @@
 use crate::config::Config;
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
+use crate::handover::Handover;
 use crate::operator::Operator;
 use crate::peers::Peers;
 use crate::server::Server;
-use crate::socket::Descriptors;
+use crate::socket::{Descriptors, UNCOUNTED};
 use crate::state::State;
 use crate::upstream::Upstream;
 use birchspoke::Balancer;
@@ -27,7 +29,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -43,19 +45,24 @@
 /// Time for those failures to be written.
 const FAREWELL: Duration = Duration::from_millis(100);
 
-fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
+fn bind(at: SocketAddr, shared: bool) -> std::io::Result<TcpSocket> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
+    // The next process of this node binds it too, before this one ends.
+    socket.set_reuseport(shared)?;
     socket.bind(at)?;
-    socket.listen(BACKLOG)
+    Ok(socket)
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let listener = listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let listener = bind(config.listen, true).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let operators = match config.operator {
-        Some(at) => Some(listen(at).map_err(|e| format!("operator: {at}: {e}"))?),
+        Some(at) => {
+            let bound = bind(at, false).and_then(|s| s.listen(BACKLOG));
+            Some(bound.map_err(|e| format!("operator: {at}: {e}"))?)
+        }
         None => None,
     };
     let state = Rc::new(State::open(config.listen));
@@ -65,7 +72,7 @@
     let upstream = Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms);
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
-            let peers = Peers::new(at, config.peers, config.peers_all, settings.slot).await;
+            let peers = Peers::new(at, config.peers, config.peers_all, settings.slot);
             Some(Rc::new(peers.map_err(|e| format!("peer_listen: {at}: {e}"))?))
         }
         None => None,
@@ -103,7 +110,7 @@
         wishes,
     };
     spawn_local(watch.run(driver.clone()));
-    if let Some(peers) = peers {
+    if let Some(peers) = peers.clone() {
         let driver = driver.clone();
         spawn_local(async move { peers.listen(&driver).await });
     }
@@ -128,9 +135,19 @@
         log::line(&format!("{uid} is out by an operator's word, given before this start"));
     }
     if let Some(listener) = operators {
+        let descriptors = descriptors.clone();
         let operator = Operator { driver: driver.clone(), server: server.clone(), descriptors };
         spawn_local(Rc::new(operator).listen(listener));
     }
+    let handover = Handover::new(state, driver.clone(), descriptors, UNCOUNTED + reserved);
+    spawn_local(handover.clone().run());
+    tokio::select! {
+        () = handover.may_serve() => {}
+        // Nobody has come yet, and nobody will.
+        _ = terminate.recv() => return Ok(()),
+    }
+    let listener = listener.listen(BACKLOG).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    handover.serves();
     log::line(&format!("{} serves on {}", config.name, config.listen));
     log::line(&format!("settings: {settings:?}"));
     let accepting = {
@@ -138,9 +155,17 @@
         spawn_local(async move { server.accept(listener).await })
     };
     terminate.recv().await;
-    log::line("told to stop: answers what comes and what is there, then ends");
     let end = Instant::now() + longest + LAST_ANSWERS;
-    server.stop();
+    let successor = handover.stops();
+    log::line(if successor {
+        "told to stop, another process takes the clients: answers what is there, then ends"
+    } else {
+        "told to stop: answers what comes and what is there, then ends"
+    });
+    server.stop(successor);
+    if let Some(peers) = peers.filter(|_| successor) {
+        peers.leave();
+    }
     // Whatever became of the accept loop, what was taken is answered.
     let _ = tokio::time::timeout_at(end.into(), accepting).await;
     server.wind_down(end).await;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -2,17 +2,22 @@
 
 use crate::driver::{Driver, Input};
 use crate::log;
+use socket2::{Domain, Socket, Type};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 /// A longer datagram breaks the deployment's rules.
 const LONGEST: usize = 256;
 
 /// The other nodes of the tier.
 pub struct Peers {
-    socket: UdpSocket,
+    /// None once it is left to another process of this node.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    left: Notify,
     nodes: Vec<SocketAddr>,
     all: Option<SocketAddr>,
     own: u32,
@@ -20,13 +25,25 @@
 
 impl Peers {
     /// Listens at `listen`; `own` is this node's number among `nodes`.
-    pub async fn new(
+    pub fn new(
         listen: SocketAddr,
         nodes: Vec<SocketAddr>,
         all: Option<SocketAddr>,
         own: u32,
     ) -> std::io::Result<Peers> {
-        Ok(Peers { socket: UdpSocket::bind(listen).await?, nodes, all, own })
+        let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, None)?;
+        // The next process of this node binds it too, before this one ends.
+        socket.set_reuse_port(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&listen.into())?;
+        let socket = UdpSocket::from_std(socket.into())?;
+        Ok(Peers { socket: RefCell::new(Some(Rc::new(socket))), left: Notify::new(), nodes, all, own })
+    }
+
+    /// Leaves the address to another process of this node.
+    pub fn leave(&self) {
+        self.socket.replace(None);
+        self.left.notify_one();
     }
 
     /// Sends to one node or to all others. A message that cannot go is lost, as any may be.
@@ -44,24 +61,29 @@
             Some(n) => node(n).into_iter().collect(),
             None => self.all.map_or_else(others, |all| vec![all]),
         };
+        let Some(socket) = self.socket.borrow().clone() else { return };
         for target in targets {
-            let _ = self.socket.try_send_to(bytes, target);
+            let _ = socket.try_send_to(bytes, target);
         }
     }
 
-    /// Hands on what arrives.
+    /// Hands on what arrives, until the address is left.
     pub async fn listen(&self, driver: &Rc<Driver>) {
-        loop {
-            let (from, bytes) = self.receive().await;
+        while let Some((from, bytes)) = self.receive().await {
             driver.take(Input::Message(from, bytes));
         }
     }
 
     /// The next message of a node of the tier; strangers and overlong datagrams are not heard.
-    async fn receive(&self) -> (u32, Vec<u8>) {
+    async fn receive(&self) -> Option<(u32, Vec<u8>)> {
         let mut buffer = [0_u8; LONGEST + 1];
         loop {
-            let Ok((length, sender)) = self.socket.recv_from(&mut buffer).await else {
+            let socket = self.socket.borrow().clone()?;
+            let received = tokio::select! {
+                received = socket.recv_from(&mut buffer) => received,
+                () = self.left.notified() => continue,
+            };
+            let Ok((length, sender)) = received else {
                 // Such as a peer that is down: the system says so of an earlier send.
                 tokio::time::sleep(Duration::from_millis(1)).await;
                 continue;
@@ -70,7 +92,7 @@
             if let (Some((_, from)), Some(bytes)) = (from, buffer.get(..length))
                 && length <= LONGEST
             {
-                return (from, bytes.to_vec());
+                return Some((from, bytes.to_vec()));
             }
         }
     }
@@ -84,10 +106,11 @@
     #[tokio::test]
     async fn messages_go_both_ways_and_strangers_are_not_heard() -> std::io::Result<()> {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let mut a = Peers::new(any, Vec::new(), None, 0).await?;
-        let mut b = Peers::new(any, Vec::new(), None, 1).await?;
+        let mut a = Peers::new(any, Vec::new(), None, 0)?;
+        let mut b = Peers::new(any, Vec::new(), None, 1)?;
+        let address = |p: &Peers| p.socket.borrow().as_ref().unwrap().local_addr().unwrap();
         let stranger = UdpSocket::bind(any).await?;
-        let nodes = vec![a.socket.local_addr()?, b.socket.local_addr()?];
+        let nodes = vec![address(&a), address(&b)];
         (a.nodes, b.nodes) = (nodes.clone(), nodes.clone());
         stranger.send_to(b"not of the tier", nodes[1]).await?;
         a.send(Some(1), &[7; LONGEST + 1]);
@@ -97,8 +120,15 @@
         let heard =
             tokio::time::timeout(Duration::from_secs(5), async { (b.receive().await, a.receive().await) });
         let (at_b, at_a) = heard.await?;
-        assert_eq!(at_b, (0, b"to all others".to_vec()));
-        assert_eq!(at_a, (1, b"back".to_vec()));
+        assert_eq!(at_b, Some((0, b"to all others".to_vec())));
+        assert_eq!(at_a, Some((1, b"back".to_vec())));
+        // The next process has the address to itself once this one left it.
+        let next = Peers::new(nodes[1], nodes.clone(), None, 1)?;
+        b.leave();
+        assert_eq!(b.receive().await, None);
+        a.send(Some(1), b"to the next");
+        let heard = tokio::time::timeout(Duration::from_secs(5), next.receive()).await?;
+        assert_eq!(heard, Some((0, b"to the next".to_vec())));
         Ok(())
     }
 }
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -63,6 +63,12 @@
 /// But so long at most: SIGKILL would find unanswered what is taken later.
 const ACCEPT_END: Duration = Duration::from_millis(1500);
 
+/// Time to take who has connected already when another process takes over, should the system be out of
+/// descriptors.
+const LEAVE_TIME: Duration = Duration::from_millis(1000);
+const STARTING: &str = "this process is starting";
+const STOPPING: &str = "this process is stopping";
+
 /// Headers that concern one connection only, or that are made anew.
 const OWN_HEADERS: [HeaderName; 8] = [
     CONNECTION,
@@ -157,11 +163,15 @@
 /// What the node is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
+    /// Takes no clients yet.
+    Starting,
     Serving,
     /// Sends clients away, until told otherwise.
     Quiesced,
     /// Since then, for good.
     Stopping(Instant),
+    /// The same, where another process of this node takes the clients.
+    Succeeded,
 }
 
 /// The client side of the node.
@@ -195,7 +205,7 @@
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
             next: Cell::new(0),
-            mode: Cell::new(Mode::Serving),
+            mode: Cell::new(Mode::Starting),
             stop: Notify::new(),
             closed: Notify::new(),
         });
@@ -229,7 +239,13 @@
     /// Takes connections until told to stop, and then for as long as they still come.
     pub async fn accept(self: &Rc<Self>, listener: TcpListener) {
         let mut last = Instant::now();
+        if self.mode.get() == Mode::Starting {
+            self.mode.set(Mode::Serving);
+        }
         loop {
+            if self.mode.get() == Mode::Succeeded {
+                return self.leave(listener).await;
+            }
             let quiet_at =
                 self.stopping().map(|at| (at + ACCEPT_ON).max(last + QUIET).min(at + ACCEPT_END));
             let quiet = async {
@@ -261,6 +277,29 @@
         }
     }
 
+    /// Takes who has connected already and gives the address up: who connects next meets the other process.
+    async fn leave(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        let end = Instant::now() + LEAVE_TIME;
+        loop {
+            // Closed as soon as nobody waits, with no pause between: who comes in between is reset.
+            match listener.accept().and_then(|(s, _)| s.set_nonblocking(true).map(|()| s)) {
+                Ok(stream) => {
+                    let slot = self.descriptors.take_for_client().await;
+                    if let Ok(stream) = TcpStream::from_std(stream) {
+                        self.serve(stream, slot);
+                    }
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(_) if Instant::now() < end => {
+                    self.descriptors.relieve();
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Answers what is there with a farewell and closes what carries nothing; returns when no client is
     /// left, or at `end`.
     pub async fn wind_down(self: &Rc<Self>, end: Instant) {
@@ -270,16 +309,17 @@
         }
     }
 
-    /// From now on every answer closes its connection, until the process ends.
-    pub fn stop(&self) {
-        self.mode.set(Mode::Stopping(Instant::now()));
+    /// From now on every answer closes its connection, until the process ends. With a successor, another
+    /// process of this node, the front must not hear of it.
+    pub fn stop(&self, successor: bool) {
+        self.mode.set(if successor { Mode::Succeeded } else { Mode::Stopping(Instant::now()) });
         self.stop.notify_one();
     }
 
     fn stopping(&self) -> Option<Instant> {
         match self.mode.get() {
             Mode::Stopping(since) => Some(since),
-            Mode::Serving | Mode::Quiesced => None,
+            Mode::Starting | Mode::Serving | Mode::Quiesced | Mode::Succeeded => None,
         }
     }
 
@@ -288,14 +328,16 @@
         match self.mode.get() {
             Mode::Serving => Ok("serving"),
             Mode::Quiesced => Ok("quiesced, serves who still comes"),
-            Mode::Stopping(_) => Err("this process is stopping"),
+            Mode::Starting => Err(STARTING),
+            Mode::Stopping(_) | Mode::Succeeded => Err(STOPPING),
         }
     }
 
     /// Sends clients away: `/up` says no, every answer closes its connection, idle ones are closed.
     pub fn quiesce(self: &Rc<Self>) -> Result<String, &'static str> {
         match self.mode.get() {
-            Mode::Stopping(_) => return Err("this process is stopping"),
+            Mode::Starting => return Err(STARTING),
+            Mode::Stopping(_) | Mode::Succeeded => return Err(STOPPING),
             Mode::Quiesced => {}
             Mode::Serving => {
                 self.mode.set(Mode::Quiesced);
@@ -314,7 +356,8 @@
     /// Ends that: `/up` says yes again.
     pub fn resume(&self) -> Result<String, &'static str> {
         match self.mode.get() {
-            Mode::Stopping(_) => return Err("this process is stopping"),
+            Mode::Starting => return Err(STARTING),
+            Mode::Stopping(_) | Mode::Succeeded => return Err(STOPPING),
             Mode::Quiesced => self.mode.set(Mode::Serving),
             Mode::Serving => {}
         }
@@ -390,7 +433,9 @@
         } else if path != "/up" {
             self.turn_away(until, body, StatusCode::NOT_FOUND, "no such path\n").await
         } else if matches!(head.method, Method::GET | Method::HEAD) {
-            let ready = self.driver.ready() && self.mode.get() == Mode::Serving;
+            // With a successor, a no would take both processes away from the front.
+            let here = matches!(self.mode.get(), Mode::Serving | Mode::Succeeded);
+            let ready = here && self.driver.ready();
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
             self.turn_away(until, body, StatusCode::METHOD_NOT_ALLOWED, "").await
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -12,7 +12,7 @@
 
 /// Descriptors kept for all that is not counted: standard streams, the poller, the listener, UDP, and a
 /// connection just accepted.
-const UNCOUNTED: usize = 24;
+pub const UNCOUNTED: usize = 24;
 
 /// Closes something idle. True: a descriptor was freed at once; false: none was, or it will be soon.
 type Reclaim = Box<dyn Fn() -> bool>;
@@ -20,7 +20,7 @@
 /// One count over the sockets of clients, backends and discovery.
 pub struct Descriptors {
     used: Cell<usize>,
-    limit: usize,
+    limit: Cell<usize>,
     freed: Notify,
     reclaim: RefCell<Vec<Reclaim>>,
 }
@@ -30,7 +30,7 @@
     pub fn new(sockets: usize) -> Rc<Descriptors> {
         Rc::new(Descriptors {
             used: Cell::new(0),
-            limit: sockets.saturating_sub(UNCOUNTED).max(8),
+            limit: Cell::new(sockets.saturating_sub(UNCOUNTED).max(8)),
             freed: Notify::new(),
             reclaim: RefCell::new(Vec::new()),
         })
@@ -46,20 +46,41 @@
         self.reclaim.borrow().iter().any(|r| r())
     }
 
+    /// How many are in use.
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// How many may be.
+    pub fn limit(&self) -> usize {
+        self.limit.get()
+    }
+
+    /// Sets how many may be; what is over that and can be closed is closed.
+    pub fn set_limit(&self, limit: usize) {
+        self.limit.set(limit);
+        for _ in limit..self.used.get() {
+            if !self.relieve() {
+                break;
+            }
+        }
+        self.freed.notify_one();
+    }
+
     /// Waits for a place: under pressure something idle is closed for it.
     pub async fn take(self: &Rc<Self>) -> Slot {
-        self.take_below(self.limit).await
+        self.take_below(|limit| limit).await
     }
 
     /// The same for a new client, to whom the last eighth is closed: an attempt for one that is there is
     /// better than one client more.
     pub async fn take_for_client(self: &Rc<Self>) -> Slot {
-        self.take_below(self.limit - self.limit / 8).await
+        self.take_below(|limit| limit - limit / 8).await
     }
 
-    async fn take_below(self: &Rc<Self>, limit: usize) -> Slot {
+    async fn take_below(self: &Rc<Self>, part: impl Fn(usize) -> usize) -> Slot {
         loop {
-            if self.used.get() < limit {
+            if self.used.get() < part(self.limit.get()) {
                 self.used.set(self.used.get() + 1);
                 return Slot(self.clone());
             }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -5,20 +5,73 @@
 use crate::log;
 use birchspoke::interface::BackendId;
 use birchspoke::wire::stable_hash;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::fs;
+use std::fs::{self, File, TryLockError};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Names of files that say which backend is out.
 const CORDON: &str = "cordon-";
+/// Of files that a living process holds locked, and of what it says of itself.
+const ALIVE: &str = "alive-";
+const RECORD: &str = "process-";
+/// Of files that are not whole yet.
+const DRAFT: &str = "draft-";
 /// A longer file is none of ours.
 const LONGEST: u64 = 4096;
 
+/// How far a process of this node is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Does not take clients yet.
+    Starting,
+    /// Takes clients.
+    Serving,
+    /// Takes none any more.
+    Stopping,
+}
+
+impl Stage {
+    const ALL: [(Stage, &str); 3] =
+        [(Stage::Starting, "starting"), (Stage::Serving, "serving"), (Stage::Stopping, "stopping")];
+}
+
+/// What a process says of itself to others of the same node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// How far it is.
+    pub stage: Stage,
+    /// Descriptors that it may use.
+    pub claim: usize,
+    /// Its start, in milliseconds since 1970, and its number: of two processes the greater is the newer.
+    pub age: (u64, u32),
+}
+
+impl Record {
+    fn read(text: &str, pid: u32) -> Option<Record> {
+        let json: Value = serde_json::from_str(text).ok()?;
+        let stage = json.get("stage")?.as_str()?;
+        let (stage, _) = Stage::ALL.into_iter().find(|(_, word)| *word == stage)?;
+        let claim = usize::try_from(json.get("claim")?.as_u64()?).ok()?;
+        Some(Record { stage, claim, age: (json.get("started_ms")?.as_u64()?, pid) })
+    }
+
+    fn write(self) -> String {
+        let stage = Stage::ALL.into_iter().find(|(s, _)| *s == self.stage).map(|(_, word)| word);
+        json!({"stage": stage, "claim": self.claim, "started_ms": self.age.0}).to_string()
+    }
+}
+
 /// The directory, or none where there is no place for one.
 pub struct State {
     dir: Option<PathBuf>,
+    pid: u32,
+    started_ms: u64,
+    /// Held locked for as long as this process lives; the system unlocks it however that ends.
+    _alive: Option<File>,
 }
 
 impl State {
@@ -26,24 +79,70 @@
     pub fn open(listen: SocketAddr) -> State {
         let Some(tmp) = std::env::var_os("TMPDIR").filter(|t| !t.is_empty()) else {
             log::line("TMPDIR is not set: nothing outlives this process");
-            return State { dir: None };
+            return State::at(None, std::process::id());
         };
-        State::open_in(Path::new(&tmp), listen)
+        State::open_in(Path::new(&tmp), listen, std::process::id())
     }
 
-    fn open_in(tmp: &Path, listen: SocketAddr) -> State {
+    fn at(dir: Option<PathBuf>, pid: u32) -> State {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started_ms = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
+        State { dir, pid, started_ms, _alive: None }
+    }
+
+    fn open_in(tmp: &Path, listen: SocketAddr, pid: u32) -> State {
         let dir = tmp.join(format!("daleturn-{}-{}", listen.ip(), listen.port()));
         // A directory that is there already may still be read-only: only a write shows.
-        let made = fs::create_dir_all(&dir).and_then(|()| write_whole(&dir, "writable", b""));
-        match made {
-            Ok(()) => State { dir: Some(dir) },
+        match fs::create_dir_all(&dir).and_then(|()| lock(&dir, pid)) {
+            Ok(alive) => State { _alive: Some(alive), ..State::at(Some(dir), pid) },
             Err(e) => {
                 log::line(&format!("TMPDIR cannot be written, nothing outlives this process: {e}"));
-                State { dir: None }
+                State::at(None, pid)
             }
         }
     }
 
+    /// What this process would say of itself.
+    pub fn record(&self, stage: Stage, claim: usize) -> Record {
+        Record { stage, claim, age: (self.started_ms, self.pid) }
+    }
+
+    /// Tells the others of the same node. One that cannot is as one that nobody sees.
+    pub fn tell(&self, record: Record) {
+        if let Some(dir) = &self.dir
+            && let Err(e) = write_whole(dir, &format!("{RECORD}{}", self.pid), record.write().as_bytes())
+        {
+            log::line(&format!("TMPDIR: {e}"));
+        }
+    }
+
+    /// The other living processes of this node; what dead ones left is cleared away.
+    pub fn others(&self) -> Vec<Record> {
+        let Some(dir) = &self.dir else { return Vec::new() };
+        let Ok(entries) = fs::read_dir(dir) else { return Vec::new() };
+        let mut others = Vec::new();
+        for entry in entries.flatten() {
+            let name = entry.file_name();
+            let pid = name.to_str().and_then(|n| n.strip_prefix(ALIVE)).and_then(|n| n.parse().ok());
+            let Some(pid) = pid.filter(|p| *p != self.pid) else { continue };
+            let Ok(alive) = File::open(entry.path()) else { continue };
+            let record = dir.join(format!("{RECORD}{pid}"));
+            match alive.try_lock_shared() {
+                Err(TryLockError::WouldBlock) => {
+                    let text = fs::read_to_string(record).unwrap_or_default();
+                    others.extend(Record::read(&text, pid));
+                }
+                Err(TryLockError::Error(_)) => {}
+                Ok(()) => {
+                    // Whatever is left after this does no harm: nobody holds it.
+                    let _ = fs::remove_file(record);
+                    let _ = fs::remove_file(entry.path());
+                }
+            }
+        }
+        others
+    }
+
     /// Whether anything can be stored.
     pub fn lasts(&self) -> bool {
         self.dir.is_some()
@@ -89,8 +188,17 @@
     format!("{CORDON}{:016x}", stable_hash(uid))
 }
 
+/// The file that is locked while this process lives: locked first, seen by others after.
+fn lock(dir: &Path, pid: u32) -> io::Result<File> {
+    let draft = dir.join(format!("{DRAFT}{pid}"));
+    let file = File::create(&draft)?;
+    file.lock()?;
+    fs::rename(&draft, dir.join(format!("{ALIVE}{pid}")))?;
+    Ok(file)
+}
+
 fn write_whole(dir: &Path, name: &str, content: &[u8]) -> io::Result<()> {
-    let draft = dir.join(format!("draft-{}-{name}", std::process::id()));
+    let draft = dir.join(format!("{DRAFT}{}-{name}", std::process::id()));
     let written = fs::write(&draft, content).and_then(|()| fs::rename(&draft, dir.join(name)));
     if written.is_err() {
         // What is left of it would only take space.
@@ -114,11 +222,11 @@
     fn a_cordon_is_there_for_the_next_process_until_taken_back() {
         let tmp = scratch("cordon");
         let listen = ([127, 0, 0, 1], 80).into();
-        let first = State::open_in(&tmp, listen);
+        let first = State::open_in(&tmp, listen, 1);
         first.cordon("s-1").unwrap();
         first.cordon("s-1").unwrap();
         first.cordon("s-2").unwrap();
-        let second = State::open_in(&tmp, listen);
+        let second = State::open_in(&tmp, listen, 2);
         assert_eq!(second.cordoned().into_values().collect::<Vec<_>>().len(), 2);
         second.uncordon("s-1").unwrap();
         second.uncordon("s-1").unwrap();
@@ -129,7 +237,7 @@
     #[test]
     fn torn_and_strange_files_are_none() {
         let tmp = scratch("torn");
-        let state = State::open_in(&tmp, ([127, 0, 0, 1], 80).into());
+        let state = State::open_in(&tmp, ([127, 0, 0, 1], 80).into(), 1);
         state.cordon("s-1").unwrap();
         let dir = state.dir.clone().unwrap();
         fs::write(dir.join(cordon_file("s-long")), "s-lo").unwrap();
@@ -141,9 +249,49 @@
         let _ = fs::remove_dir_all(tmp);
     }
 
+    #[test]
+    fn processes_see_each_other_for_as_long_as_they_live() {
+        let tmp = scratch("others");
+        let listen = ([127, 0, 0, 1], 80).into();
+        let old = State::open_in(&tmp, listen, 1);
+        old.tell(old.record(Stage::Serving, 100));
+        let new = State::open_in(&tmp, listen, 2);
+        assert_eq!(new.others(), [old.record(Stage::Serving, 100)]);
+        assert!(old.others().is_empty(), "it has said nothing of itself yet");
+        new.tell(new.record(Stage::Starting, 20));
+        assert_eq!(old.others(), [new.record(Stage::Starting, 20)]);
+        assert!(old.others()[0].age > new.others()[0].age);
+        assert!(State::open_in(&tmp, ([127, 0, 0, 1], 81).into(), 3).others().is_empty(), "another node");
+        drop(new);
+        assert!(old.others().is_empty());
+        let dir = old.dir.clone().unwrap();
+        assert!(!dir.join("alive-2").exists() && !dir.join("process-2").exists());
+        let _ = fs::remove_dir_all(tmp);
+    }
+
+    #[test]
+    fn what_no_process_holds_or_nobody_can_read_is_no_process() {
+        let tmp = scratch("leftover");
+        let state = State::open_in(&tmp, ([127, 0, 0, 1], 80).into(), 1);
+        let dir = state.dir.clone().unwrap();
+        fs::write(dir.join("alive-7"), "").unwrap();
+        fs::write(dir.join("process-7"), state.record(Stage::Serving, 9).write()).unwrap();
+        fs::write(dir.join("alive-x"), "").unwrap();
+        fs::write(dir.join("process-8"), state.record(Stage::Serving, 9).write()).unwrap();
+        let held = lock(&dir, 9).unwrap();
+        for torn in
+            ["", "{", "{}", "{\"stage\":\"serving\"}", "{\"stage\":\"new\",\"claim\":1,\"started_ms\":1}"]
+        {
+            fs::write(dir.join("process-9"), torn).unwrap();
+            assert!(state.others().is_empty(), "{torn}");
+        }
+        drop(held);
+        let _ = fs::remove_dir_all(tmp);
+    }
+
     #[test]
     fn without_a_place_nothing_lasts_and_nothing_fails() {
-        let state = State::open_in(Path::new("/proc/no-such-place"), ([127, 0, 0, 1], 80).into());
+        let state = State::open_in(Path::new("/proc/no-such-place"), ([127, 0, 0, 1], 80).into(), 1);
         assert!(!state.lasts());
         state.cordon("s-1").unwrap();
         state.uncordon("s-1").unwrap();
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -349,6 +349,27 @@
         Node { address, operator, child, file, config }
     }
 
+    /// Starts the next process of the same node, with a second address of its own.
+    pub fn beside(&self, command: &str) -> Node {
+        let operator = free_address();
+        let child = Command::new("/bin/sh")
+            .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
+            .env("LB_CONFIG", &self.file)
+            .env("LB_OPERATOR", operator.to_string())
+            .env_remove("TMPDIR")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (file, config) = (self.file.clone(), self.config.clone());
+        Node { address: self.address, operator, child, file, config }
+    }
+
+    /// Ends it with no time for anything.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     /// What an operator is answered.
     pub fn call(&self, call: &str) -> String {
         operator(self.operator, format!("{call}\n").as_bytes())
@@ -462,13 +483,18 @@
 
 /// What an operator is answered who sends this, whether it is a call or not.
 pub fn operator(address: SocketAddr, bytes: &[u8]) -> String {
-    let mut stream = TcpStream::connect_timeout(&address, PATIENCE).unwrap();
+    try_operator(address, bytes).unwrap()
+}
+
+/// The same of an operator's address that may not be there.
+pub fn try_operator(address: SocketAddr, bytes: &[u8]) -> Option<String> {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE).ok()?;
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(bytes).unwrap();
-    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    stream.write_all(bytes).ok()?;
+    stream.shutdown(std::net::Shutdown::Write).ok()?;
     let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    answer
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
 }
 
 /// An empty directory of this test's own.
