--- a/src/balance.rs
+++ b/src/balance.rs
@@ -424,7 +424,13 @@
                 }
             }
             Event::Message { bytes, .. } => self.on_news(now, &bytes, out),
-            Event::Timer(_) | Event::Started { .. } => {}
+            Event::Started { id, elapsed_ms, .. } => {
+                if let Some(o) = self.open.get_mut(&id) {
+                    // The first bytes are what is timed; the last may come when they will.
+                    o.aim_at = if elapsed_ms <= o.aim_at - o.arrived { f64::INFINITY } else { now };
+                }
+            }
+            Event::Timer(_) => {}
         }
     }
 
@@ -1080,24 +1086,17 @@
         out: &mut Vec<Action>,
     ) {
         let window = self.window();
-        match outcome {
-            Outcome::Done => {
-                if let Some(l) = self.learned.get_mut(class) {
-                    l.answer(elapsed);
-                }
-                if now - self.backends[i].cold_since >= self.s.cold_ms {
-                    self.warm_count += 1.0;
-                }
-            }
-            // Time-outs count as answers that took at least so long: left out, they would make n ever
-            // shorter.
-            Outcome::TimedOut => {
-                if let Some(l) = self.learned.get_mut(class) {
-                    l.answer(elapsed);
-                }
-            }
-            Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected => return,
-            _ => {}
+        if matches!(outcome, Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected) {
+            return;
+        }
+        // Time-outs count as answers that took at least so long: left out, they would make n ever shorter.
+        if matches!(outcome, Outcome::Done | Outcome::TimedOut)
+            && let Some(l) = self.learned.get_mut(class)
+        {
+            l.answer(elapsed);
+        }
+        if outcome == Outcome::Done && now - self.backends[i].cold_since >= self.s.cold_ms {
+            self.warm_count += 1.0;
         }
         let aim = self.s.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms);
         let strain = match outcome {
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -20,6 +20,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
     /// Where datagrams of other nodes arrive.
     pub peer_listen: Option<SocketAddr>,
     /// The nodes of the tier, by number.
@@ -89,6 +91,16 @@
     text(file, field, variable)?.map(|t| address(field, &t)).transpose()
 }
 
+fn limit(file: &Value, name: &str, default: usize) -> Result<usize, ConfigError> {
+    match file.get("limits").and_then(|l| l.get(name)) {
+        None | Some(Value::Null) => Ok(default),
+        Some(v) => v
+            .as_u64()
+            .and_then(|n| usize::try_from(n).ok())
+            .ok_or_else(|| wrong(&format!("limits.{name}"), "not a whole number")),
+    }
+}
+
 fn file() -> Result<Value, ConfigError> {
     let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
     let bad = |reason: String| ConfigError::File { path: path.clone(), reason };
@@ -117,13 +129,8 @@
             Some(Value::String(s)) => u64::from_str_radix(s, 16).unwrap_or_else(|_| wire::stable_hash(s)),
             _ => return Err(wrong("seed", "missing or not a text")),
         };
-        let sockets = match json.pointer("/limits/sockets") {
-            None | Some(Value::Null) => 1024,
-            Some(v) => v
-                .as_u64()
-                .and_then(|n| usize::try_from(n).ok())
-                .ok_or_else(|| wrong("limits.sockets", "not a whole number"))?,
-        };
+        let sockets = limit(json, "sockets", 1024)?;
+        let memory = limit(json, "memory_mb", 192)?.saturating_mul(1024 * 1024);
         let peers = match json.get("peers") {
             None | Some(Value::Null) => Vec::new(),
             Some(Value::Array(list)) => list
@@ -142,6 +149,7 @@
             discovery,
             seed,
             sockets,
+            memory,
             peer_listen: address_of(json, "peer_listen", None)?,
             peers,
             peers_all: address_of(json, "peers_all", None)?,
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,5 +1,6 @@
 //! The list of backends: the first one from the configuration, then a watch on discovery.
 
+use crate::body::Outgoing;
 use crate::driver::{Driver, Input, Target};
 use crate::log;
 use crate::socket::Descriptors;
@@ -7,7 +8,6 @@
 use birchspoke::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use birchspoke::wire::{Names, stable_hash};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde_json::Value;
@@ -222,7 +222,8 @@
                 (path, Duration::from_millis(wait_ms))
             }
         };
-        let request = Request::get(path).header(HOST, at.to_string()).body(Full::<Bytes>::default())?;
+        let request =
+            Request::get(path).header(HOST, at.to_string()).body(Outgoing::whole(Bytes::new()))?;
         tokio::time::timeout(wait + SLACK, self.exchange(at, conn, request)).await?
     }
 
@@ -230,7 +231,7 @@
         &self,
         at: SocketAddr,
         kept: &mut Option<Conn>,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
     ) -> Result<Listing, Box<dyn Error>> {
         let mut conn = match kept.take().filter(Conn::alive) {
             Some(conn) => conn,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -3,6 +3,7 @@
 //! It keeps what the decisions do not: where backends are, the timers, and which requests and attempts are
 //! open. It decides nothing itself.
 
+use crate::body::Upload;
 use crate::log;
 use crate::peers::Peers;
 use crate::state::State;
@@ -83,15 +84,26 @@
     driver: Rc<Driver>,
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
-    expires: Instant,
+    /// A long request, whose time runs from its last byte.
+    upload: Option<Rc<Upload>>,
+    from: Instant,
+    wait: Duration,
 }
 
 impl Ticket {
     /// Waits for the answer; past the deadline that is a failure, whatever is still out.
     pub async fn answer(mut self) -> Answer {
-        match tokio::time::timeout_at(self.expires.into(), &mut self.answer).await {
-            Ok(answer) => answer.unwrap_or(Answer::Failed),
-            Err(_) => Answer::Failed,
+        let expired = async {
+            let from = match &self.upload {
+                Some(upload) => upload.finished().await,
+                None => self.from,
+            };
+            tokio::time::sleep_until((from + self.wait).into()).await;
+        };
+        tokio::select! {
+            biased;
+            answer = &mut self.answer => answer.unwrap_or(Answer::Failed),
+            () = expired => Answer::Failed,
         }
     }
 }
@@ -136,6 +148,19 @@
         /// Time since the send.
         elapsed_ms: f64,
     },
+    /// The first bytes of a long answer are there, or a long request was answered.
+    Started {
+        /// The request.
+        id: RequestId,
+        /// Which attempt.
+        attempt: u32,
+        /// At which backend.
+        backend: BackendId,
+        /// The answer to pass on; none where all of it comes with the end.
+        reply: Option<Reply>,
+        /// Time that counts.
+        elapsed_ms: f64,
+    },
     /// A probe is over.
     Probed(BackendId, Finish, f64),
     /// A timer is due.
@@ -248,22 +273,24 @@
         })
     }
 
-    /// Takes in a request and hands out the ticket for its answer. `deadline` is when the decisions must
-    /// have ended it, `expires` when this node does so without them.
+    /// Takes in a request that arrived at `from` and hands out the ticket for its answer. The decisions must
+    /// have ended it within `wait` less `margin`; after `wait` this node does so without them.
     pub fn submit(
         self: &Rc<Self>,
         mut request: Request,
         call: Call,
-        deadline: Instant,
-        expires: Instant,
+        from: Instant,
+        wait: Duration,
+        margin: Duration,
     ) -> Ticket {
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
-        request.deadline_ms = self.clock.at_ms(deadline);
+        request.deadline_ms = self.clock.at_ms(from + wait.saturating_sub(margin));
         let (owed, answer) = oneshot::channel();
+        let upload = call.upload.clone();
         self.take(Input::Arrived(request, Rc::new(call), Owed(owed)));
-        Ticket { driver: self.clone(), id, answer, expires }
+        Ticket { driver: self.clone(), id, answer, upload, from, wait }
     }
 
     /// Requests that are not over.
@@ -416,16 +443,29 @@
             report.finish = Some(outcome.into());
             return;
         };
-        let until = report.begun + Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
-        let errand = Errand { backend, address: place.address, call: open.call.clone(), until };
+        if open.call.upload.as_ref().is_some_and(|u| u.spent()) {
+            // It went to an attempt that failed, and cannot be sent again.
+            report.finish = Some(Outcome::Skipped.into());
+            return;
+        }
+        let timeout = Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
+        let errand = Errand { backend, address: place.address, call: open.call.clone(), timeout };
         let driver = self.clone();
         spawn_local(async move {
             let wanted = || driver.stands(id, errand.backend);
+            let started = |reply, took: Duration| {
+                let elapsed_ms = took.as_secs_f64() * 1000.0;
+                driver.take(Input::Started { id, attempt, backend, reply: Some(reply), elapsed_ms });
+            };
             let (finish, conn) = tokio::select! {
                 biased;
                 _ = &mut called_off => (Outcome::Cancelled.into(), None),
-                end = driver.upstream.attempt(&errand, wanted) => end,
+                end = driver.upstream.attempt(&errand, wanted, started) => end,
             };
+            if let (Some(took), Some(_)) = (finish.took, &finish.reply) {
+                let elapsed_ms = took.as_secs_f64() * 1000.0;
+                driver.take(Input::Started { id, attempt, backend, reply: None, elapsed_ms });
+            }
             report.finish = Some(finish);
             drop(report);
             driver.keep(errand.backend, errand.address, conn);
@@ -477,7 +517,7 @@
     fn drop(&mut self) {
         let finish = self.finish.take().unwrap_or_else(|| Outcome::Reset.into());
         let (id, attempt, backend) = (self.id, self.attempt, self.backend);
-        let elapsed_ms = self.begun.elapsed().as_secs_f64() * 1000.0;
+        let elapsed_ms = finish.took.unwrap_or_else(|| self.begun.elapsed()).as_secs_f64() * 1000.0;
         self.driver.take(Input::Ended { id, attempt, backend, finish, elapsed_ms });
     }
 }
@@ -538,6 +578,16 @@
                 }
                 Event::Ended { id, attempt, backend, outcome, last, elapsed_ms, load }
             }
+            Input::Started { id, attempt, backend, reply, elapsed_ms } => {
+                let open = self.open.get_mut(&id)?;
+                // An answer that nobody waits for any more is dropped here, and its attempt ends by that.
+                if let Some(reply) = reply
+                    && let Some(owed) = open.owed.take()
+                {
+                    owed.settle(Answer::Served(reply));
+                }
+                Event::Started { id, attempt, backend, elapsed_ms }
+            }
             Input::Probed(backend, finish, elapsed_ms) => {
                 Event::Probed { backend, outcome: finish.outcome, elapsed_ms, load: finish.load }
             }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,5 +1,6 @@
 //! One node: the decisions of the crate `birchspoke` on real sockets.
 
+mod body;
 mod config;
 mod discovery;
 mod driver;
@@ -69,7 +70,12 @@
     let settings = config.settings.clone();
     let reserved = if operators.is_some() { operator::DESCRIPTORS } else { 0 };
     let descriptors = Descriptors::new(config.sockets.saturating_sub(reserved));
-    let upstream = Upstream::new(descriptors.clone(), settings.connect_timeout_ms, settings.conn_idle_ms);
+    let upstream = Upstream::new(
+        descriptors.clone(),
+        config.memory,
+        settings.connect_timeout_ms,
+        settings.conn_idle_ms,
+    );
     let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
         Some(at) => {
             let peers = Peers::new(at, config.peers, config.peers_all, settings.slot);
@@ -114,18 +120,20 @@
         let driver = driver.clone();
         spawn_local(async move { peers.listen(&driver).await });
     }
+    let sweeping = upstream.clone();
     spawn_local(async move {
         let mut turn = tokio::time::interval(SWEEP);
         turn.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             turn.tick().await;
-            upstream.sweep();
+            sweeping.sweep();
         }
     });
     let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
     let server = Server::new(
         driver.clone(),
+        upstream,
         names,
         settings.classes.clone(),
         settings.open_cap as usize,
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,13 +1,14 @@
 //! The client side: connections, what they ask, and the answers they get.
 
+use crate::body::{Download, LONGEST_BODY, Upload, drain};
 use crate::driver::{Answer, Driver};
 use crate::log;
 use crate::socket::{Descriptors, Slot, Socket};
-use crate::upstream::{BODY_LIMIT, Call, EXPIRES};
+use crate::upstream::{BODY_LIMIT, BUFFER, Call, EXPIRES, Reply, ReplyBody, Upstream};
 use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
 use birchspoke::wire::{Names, stable_hash};
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE,
@@ -39,17 +40,24 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(600);
 /// A connection whose next head takes longer is closed, idle or not.
 const HEAD_LIMIT: Duration = Duration::from_secs(60);
-/// Time for a connection's first request to be read whole, from when it came: a peer that says nothing, or not
-/// enough, is closed or told so within three seconds.
-const FIRST_REQUEST: Duration = Duration::from_millis(2500);
+/// Time for a connection's first head to be read, from when it came: a peer that says nothing, or not enough, is
+/// closed or told so within three seconds.
+const FIRST_HEAD: Duration = Duration::from_millis(2500);
 /// How often a connection is looked at for that.
 const LOOK: Duration = Duration::from_millis(250);
-/// Time for a body, whatever wait the request claims.
-const BODY_TIME: Duration = Duration::from_secs(2);
-/// And of one that announces itself as too long, which its client may be holding back.
-const LONG_BODY_TIME: Duration = Duration::from_millis(500);
-/// How far a body that is too long is read.
-const READ_ON: usize = 4 * 1024 * 1024;
+/// Time for a body of which nothing comes, from the head or, on a connection's first request, from when it came.
+const BODY_TIME: Duration = Duration::from_millis(2800);
+/// And the time that each byte of it is good for besides: half the pace that clients are allowed.
+const BODY_PACE: u64 = 32_000;
+/// Time for a long body that nobody wants to be read to its end, so that its client is there for the answer.
+const DRAIN_TIME: Duration = Duration::from_millis(4500);
+/// How long a long body waits for a place before it is refused.
+const PLACE_WAIT: Duration = Duration::from_millis(1000);
+/// A long transfer that moves no more than this in so long has stalled for good.
+const STALL: Duration = Duration::from_secs(15);
+const STALL_BYTES: u64 = 16 * 1024;
+/// What the system may hold of a long answer: with more, a slow client would look like one that stalls.
+const SEND_BUFFER: usize = 256 * 1024;
 /// A connection this young has its first request under way.
 const FRESH: Duration = Duration::from_millis(500);
 /// Under pressure, a client that has not gone on with a request for so long is in the others' way.
@@ -93,6 +101,8 @@
     read: Cell<u64>,
     /// When it was first looked at with a request begun and not read whole.
     stuck_since: Cell<Option<Instant>>,
+    /// Carries a long body, which had moved so far at that time.
+    moved: Cell<Option<(u64, Instant)>>,
     close: Notify,
 }
 
@@ -115,14 +125,30 @@
 
     /// Owes a request, or the rest of one, for longer than anybody waits for it.
     fn overdue(&self) -> bool {
-        let silent = !self.asked.get() && !self.busy.get() && self.since.elapsed() > FIRST_REQUEST;
-        silent || self.stuck(FIRST_REQUEST)
+        let silent = !self.asked.get() && !self.busy.get() && self.since.elapsed() > FIRST_HEAD;
+        silent || self.stuck(FIRST_HEAD) || self.stalled()
     }
 
-    /// When the body of a request that arrived at `arrived` must be there.
-    fn body_until(&self, arrived: Instant) -> Instant {
-        let until = arrived + BODY_TIME;
-        if self.asked.get() { until } else { until.min(self.since + FIRST_REQUEST) }
+    /// Carries a long body that does not move any more.
+    fn stalled(&self) -> bool {
+        let Some((before, at)) = self.moved.get() else { return false };
+        let now = self.socket.read() + self.socket.written();
+        if now >= before + STALL_BYTES {
+            self.moved.set(Some((now, Instant::now())));
+            return false;
+        }
+        at.elapsed() > STALL
+    }
+
+    /// From here on it carries a long body.
+    fn carries_long(&self) {
+        self.moved.set(Some((0, Instant::now())));
+    }
+
+    /// When the body of a request whose head came at `arrived` must be there, if so much of it is.
+    fn body_until(&self, arrived: Instant, read: u64) -> Instant {
+        let from = if self.asked.get() { arrived } else { self.since };
+        from + BODY_TIME + Duration::from_millis(read * 1000 / BODY_PACE)
     }
 }
 
@@ -140,6 +166,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.moved.set(None);
         self.0.asked.set(true);
         self.0.idle_since.set(Instant::now());
         self.0.read.set(self.0.socket.read());
@@ -177,6 +204,7 @@
 /// The client side of the node.
 pub struct Server {
     driver: Rc<Driver>,
+    upstream: Rc<Upstream>,
     names: Rc<Names>,
     classes: Vec<Class>,
     open_cap: usize,
@@ -192,6 +220,7 @@
     /// A server with no clients yet.
     pub fn new(
         driver: Rc<Driver>,
+        upstream: Rc<Upstream>,
         names: Rc<Names>,
         classes: Vec<Class>,
         open_cap: usize,
@@ -199,6 +228,7 @@
     ) -> Rc<Server> {
         let server = Rc::new(Server {
             driver,
+            upstream,
             names,
             classes,
             open_cap,
@@ -374,6 +404,7 @@
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
             stuck_since: Cell::new(None),
+            moved: Cell::new(None),
             close: Notify::new(),
         });
         let number = self.next.get();
@@ -386,16 +417,13 @@
     async fn converse(self: &Rc<Self>, client: &Rc<Client>, socket: Socket) {
         let service = service_fn(|request| {
             let busy = Busy::new(client.clone());
-            async move {
-                let response = self.respond(&busy.0, request).await;
-                drop(busy);
-                Ok::<_, Infallible>(response)
-            }
+            async move { Ok::<_, Infallible>(self.respond(busy, request).await) }
         });
         let mut connection = pin!(
             http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_LIMIT)
+                .max_buf_size(BUFFER)
                 .serve_connection(TokioIo::new(socket), service)
         );
         loop {
@@ -420,25 +448,25 @@
         }
     }
 
-    async fn respond(&self, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, busy: Busy, request: Request<Incoming>) -> Response<Sent> {
+        let client = busy.0.clone();
         let arrived = Instant::now();
-        let until = client.body_until(arrived);
         let (head, body) = request.into_parts();
         let path = head.uri.path();
         let mut response = if path == "/api" || path.starts_with("/api/") {
-            match self.read(arrived, until, head, body).await {
-                Ok(reading) => answer(self.ask(reading).await),
+            match self.read(&client, arrived, head, body).await {
+                Ok(reading) => self.ask(busy, reading).await,
                 Err(refused) => refused,
             }
         } else if path != "/up" {
-            self.turn_away(until, body, StatusCode::NOT_FOUND, "no such path\n").await
+            turn_away(&client, arrived, body, StatusCode::NOT_FOUND, "no such path\n").await
         } else if matches!(head.method, Method::GET | Method::HEAD) {
             // With a successor, a no would take both processes away from the front.
             let here = matches!(self.mode.get(), Mode::Serving | Mode::Succeeded);
             let ready = here && self.driver.ready();
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
-            self.turn_away(until, body, StatusCode::METHOD_NOT_ALLOWED, "").await
+            turn_away(&client, arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
         };
         if self.mode.get() != Mode::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -446,41 +474,47 @@
         response
     }
 
-    /// Answers a request that is wrong, once its body is read: a socket closed with unread bytes resets,
-    /// and the answer under way would be lost.
-    async fn turn_away(
-        &self,
-        until: Instant,
-        body: Incoming,
-        status: StatusCode,
-        text: &'static str,
-    ) -> Response<Full<Bytes>> {
-        match collect(body, until).await {
-            Ok(_) => plain(status, text),
-            Err(BodyError::Long) => farewell(status, text),
-            Err(BodyError::Cut | BodyError::Late) => farewell(StatusCode::BAD_REQUEST, text),
+    async fn ask(&self, busy: Busy, Reading { asked, call, arrived, wait }: Reading) -> Response<Sent> {
+        let upload = call.upload.clone();
+        if upload.is_some() {
+            busy.0.carries_long();
         }
-    }
-
-    async fn ask(&self, Reading { asked, call, deadline, expires }: Reading) -> Answer {
-        if self.driver.open() >= self.open_cap {
-            return Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS };
+        let answer = if self.driver.open() >= self.open_cap {
+            Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }
+        } else {
+            let margin = MARGIN - LAST_MARGIN;
+            let wait = wait.saturating_sub(LAST_MARGIN);
+            self.driver.submit(asked, call, arrived, wait, margin).answer().await
+        };
+        // What is still to come of a request that is over must be read, or its client may not see the answer.
+        if let Some(rest) = upload.and_then(|u| u.take_rest()) {
+            spawn_local(drain(rest, DRAIN_TIME));
+        }
+        match answer {
+            Answer::Served(Reply { body: ReplyBody::Long { length, pieces }, content_type }) => {
+                busy.0.carries_long();
+                busy.0.socket.limit_send_buffer(SEND_BUFFER);
+                let client = busy.0.clone();
+                let on_cut = Box::new(move || client.socket.reset_on_close());
+                let body = Download::new(length, pieces, on_cut, busy);
+                typed(Response::new(Either::Right(body)), content_type)
+            }
+            answer => whole(answer),
         }
-        self.driver.submit(asked, call, deadline, expires).answer().await
     }
 
     /// Reads and checks a request. What is wrong with it is answered here; no backend hears of it.
     async fn read(
         &self,
+        client: &Client,
         arrived: Instant,
-        until: Instant,
         head: Parts,
         body: Incoming,
-    ) -> Result<Reading, Response<Full<Bytes>>> {
+    ) -> Result<Reading, Response<Sent>> {
         let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         if header("x-trace-id").is_none_or(str::is_empty) {
             let text = "X-Trace-Id is missing\n";
-            return Err(self.turn_away(until, body, StatusCode::BAD_REQUEST, text).await);
+            return Err(turn_away(client, arrived, body, StatusCode::BAD_REQUEST, text).await);
         }
         let class = self.names.class(header("x-qos").unwrap_or_default());
         let known = self.classes.get(class);
@@ -495,7 +529,7 @@
         };
         if !agrees {
             let text = "method and Idempotency-Key do not agree with the class\n";
-            return Err(self.turn_away(until, body, StatusCode::BAD_REQUEST, text).await);
+            return Err(turn_away(client, arrived, body, StatusCode::BAD_REQUEST, text).await);
         }
         let shortest = || self.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
         let class_wait = known.map_or_else(shortest, |c| c.deadline_ms);
@@ -503,12 +537,29 @@
             .and_then(|v| v.trim().parse::<u64>().ok())
             .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
             .min(LONGEST_WAIT);
-        let expires = arrived + wait.saturating_sub(LAST_MARGIN);
-        let body = collect(body, expires.min(until)).await.map_err(|e| match e {
-            BodyError::Long => farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n"),
-            BodyError::Cut => farewell(StatusCode::BAD_REQUEST, "the body cannot be read\n"),
-            BodyError::Late => farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"),
-        })?;
+        let (body, upload) = match collect(client, arrived, body).await {
+            Collected::Whole(body) => (body, None),
+            Collected::Long(first, rest) => match self.upstream.place(PLACE_WAIT).await {
+                Some(place) => {
+                    let length = first.len();
+                    (first, Some(Upload::new(rest, length, place)))
+                }
+                None => {
+                    spawn_local(drain(rest, DRAIN_TIME));
+                    return Err(whole(Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }));
+                }
+            },
+            Collected::TooLong(rest) => {
+                spawn_local(drain(rest, DRAIN_TIME));
+                return Err(farewell(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"));
+            }
+            Collected::Cut => return Err(farewell(StatusCode::BAD_REQUEST, "the body cannot be read\n")),
+            Collected::Late => {
+                return Err(farewell(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n"));
+            }
+        };
+        // Its time runs from its last byte; that of a long one is yet to come.
+        let arrived = Instant::now();
         let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
         let asked = Asked {
             id: RequestId(0),
@@ -521,49 +572,72 @@
         };
         let target =
             head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
-        let call = Call { method: head.method, target, headers: onward(head.headers), body };
-        Ok(Reading { asked, call, deadline: arrived + wait.saturating_sub(MARGIN), expires })
+        let call = Call { method: head.method, target, headers: onward(head.headers), body, upload };
+        Ok(Reading { asked, call, arrived, wait })
     }
 }
 
 struct Reading {
     asked: Asked,
     call: Call,
-    deadline: Instant,
-    expires: Instant,
+    arrived: Instant,
+    wait: Duration,
 }
 
-/// Why there is no body.
-enum BodyError {
-    Long,
+/// The body of an answer to a client.
+type Sent = Either<Full<Bytes>, Download<Busy>>;
+
+/// A request's body as far as it is needed before the request is decided on.
+enum Collected {
+    Whole(Bytes),
+    /// Its first part, which is more than is kept whole, and the rest.
+    Long(Bytes, Incoming),
+    /// Announced to be over the limit.
+    TooLong(Incoming),
+    /// The client broke off.
     Cut,
+    /// It did not keep pace.
     Late,
 }
 
-/// A whole body. One that is too long is read on for a while without being kept, so that its client is
-/// done sending when the answer comes.
-async fn collect(mut body: Incoming, until: Instant) -> Result<Bytes, BodyError> {
+async fn collect(client: &Client, arrived: Instant, mut body: Incoming) -> Collected {
+    if body.size_hint().lower() > LONGEST_BODY {
+        return Collected::TooLong(body);
+    }
     let mut kept = BytesMut::new();
-    let mut length = 0;
-    let announced = body.size_hint().lower() > BODY_LIMIT as u64;
-    let until = if announced { until.min(Instant::now() + LONG_BODY_TIME) } else { until };
-    let read = async {
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(|_| BodyError::Cut)?.into_data() else { continue };
-            length += data.len();
-            if length <= BODY_LIMIT {
-                kept.extend_from_slice(&data);
-            } else if length > READ_ON {
-                break;
-            }
+    loop {
+        let until = client.body_until(arrived, kept.len() as u64);
+        let frame = match tokio::time::timeout_at(until.into(), body.frame()).await {
+            Err(_) => return Collected::Late,
+            Ok(None) => return Collected::Whole(kept.freeze()),
+            Ok(Some(Err(_))) => return Collected::Cut,
+            Ok(Some(Ok(frame))) => frame,
+        };
+        if let Ok(data) = frame.into_data() {
+            kept.extend_from_slice(&data);
+        }
+        if kept.len() > BODY_LIMIT {
+            return Collected::Long(kept.freeze(), body);
         }
-        Ok(())
-    };
-    let read = tokio::time::timeout_at(until.into(), read).await;
-    match read {
-        _ if announced || length > BODY_LIMIT => Err(BodyError::Long),
-        Ok(whole) => whole.map(|()| kept.freeze()),
-        Err(_) => Err(BodyError::Late),
+    }
+}
+
+/// Answers a request that is wrong, once its body is read: a socket closed with unread bytes resets, and the
+/// answer under way would be lost.
+async fn turn_away(
+    client: &Client,
+    arrived: Instant,
+    body: Incoming,
+    status: StatusCode,
+    text: &'static str,
+) -> Response<Sent> {
+    match collect(client, arrived, body).await {
+        Collected::Whole(_) => plain(status, text),
+        Collected::Long(_, rest) | Collected::TooLong(rest) => {
+            spawn_local(drain(rest, DRAIN_TIME));
+            farewell(status, text)
+        }
+        Collected::Cut | Collected::Late => farewell(StatusCode::BAD_REQUEST, text),
     }
 }
 
@@ -575,28 +649,31 @@
     headers
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Sent> {
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
     *response.status_mut() = status;
     response
 }
 
 /// An answer after which the rest of what the client sends cannot be made sense of, or is not wanted.
-fn farewell(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+fn farewell(status: StatusCode, text: &'static str) -> Response<Sent> {
     let mut response = plain(status, text);
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
-/// The answer as the client sees it.
-fn answer(answer: Answer) -> Response<Full<Bytes>> {
+fn typed(mut response: Response<Sent>, content_type: Option<HeaderValue>) -> Response<Sent> {
+    if let Some(content_type) = content_type {
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+    }
+    response
+}
+
+/// An answer that is here whole, as the client sees it.
+fn whole(answer: Answer) -> Response<Sent> {
     match answer {
-        Answer::Served(reply) => {
-            let mut response = Response::new(Full::new(reply.body));
-            if let Some(content_type) = reply.content_type {
-                response.headers_mut().insert(CONTENT_TYPE, content_type);
-            }
-            response
+        Answer::Served(Reply { body: ReplyBody::Whole(body), content_type }) => {
+            typed(Response::new(Either::Left(Full::new(body))), content_type)
         }
         Answer::Refused { retry_after_ms } => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
@@ -608,6 +685,6 @@
             response
         }
         Answer::Rejected(status) => plain(status, "a backend finds the request wrong\n"),
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+        Answer::Failed | Answer::Served(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
     }
 }
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -131,6 +131,16 @@
         self.0.written.get()
     }
 
+    /// Limits what the system holds of what is written. One that refuses still works.
+    pub fn limit_send_buffer(&self, bytes: usize) {
+        let _ = socket2::SockRef::from(&self.0.stream).set_send_buffer_size(bytes);
+    }
+
+    /// Whoever reads from it will not take the close for a regular end.
+    pub fn reset_on_close(&self) {
+        let _ = socket2::SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -1,16 +1,21 @@
 //! Connections to backends, and the attempts and probes on them. One request at a time on each.
+//!
+//! Bodies up to [`BODY_LIMIT`] are whole on both ways. Longer ones are passed on as they come: nothing is read
+//! from one side before the other has room, and each takes one of the node's places for them.
 
+use crate::body::{Outgoing, Piece, Upload};
 use crate::socket::{Descriptors, Slot, Socket};
 use birchspoke::interface::{BackendId, Load, Outcome};
 use birchspoke::wire;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::{Future, poll_fn};
 use std::io;
@@ -20,9 +25,20 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc};
 
-/// Bodies hold at most this much, either way.
+/// Bodies up to this are whole, either way; longer ones are passed on in pieces.
 pub const BODY_LIMIT: usize = 64 * 1024;
+/// What a connection's buffer may grow to: with many long transfers, buffers are what fills the memory.
+pub const BUFFER: usize = 32 * 1024;
+/// What one long transfer can fill: buffers and pieces at both ends.
+const TRANSFER: usize = 128 * 1024;
+/// Part of the memory limit that long transfers may fill.
+const TRANSFER_PART: usize = 3;
+/// An answer of unknown length is passed on after this even if it may yet prove short.
+const HOLD: Duration = Duration::from_millis(500);
+/// A backend that has begun a long answer and says nothing for so long has broken off.
+const SILENCE: Duration = Duration::from_secs(10);
 /// How long this node will wait, as a backend is told.
 pub const EXPIRES: &str = "x-expires-in-ms";
 const NEVER_RAN: &str = "x-never-ran";
@@ -41,15 +57,31 @@
     pub target: Uri,
     /// The headers that go on.
     pub headers: HeaderMap,
-    /// Its body.
+    /// Its body, or the first part of a long one.
     pub body: Bytes,
+    /// The rest of a long one.
+    pub upload: Option<Rc<Upload>>,
 }
 
-/// A whole answer of a backend.
+/// The body of a backend's answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// Whole.
+    Whole(Bytes),
+    /// A long one, piece by piece. Without [`Piece::End`] at its end it was cut.
+    Long {
+        /// Its length, if told.
+        length: Option<u64>,
+        /// What comes of it.
+        pieces: mpsc::Receiver<Piece>,
+    },
+}
+
+/// An answer of a backend.
 #[derive(Debug)]
 pub struct Reply {
     /// Its body.
-    pub body: Bytes,
+    pub body: ReplyBody,
     /// What kind of body that is, if told.
     pub content_type: Option<HeaderValue>,
 }
@@ -64,20 +96,23 @@
     pub load: Load,
     /// How a backend put it that the request itself is wrong.
     pub rejected: Option<StatusCode>,
+    /// Time that counts for a long body: from the request's last byte to the answer's first ones.
+    pub took: Option<Duration>,
 }
 
 impl From<Outcome> for Finish {
     fn from(outcome: Outcome) -> Finish {
-        Finish { outcome, reply: None, load: Load::default(), rejected: None }
+        Finish { outcome, reply: None, load: Load::default(), rejected: None, took: None }
     }
 }
 
-type Driven = Pin<Box<Connection<TokioIo<Socket>, Full<Bytes>>>>;
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+type Driven = Pin<Box<Connection<TokioIo<Socket>, Outgoing>>>;
 
 /// A connection whose reading and writing happen only while somebody exchanges on it: nothing is left
 /// running behind an idle one, and dropping it closes the socket at once.
 pub struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     connection: Option<Driven>,
     socket: Socket,
 }
@@ -86,7 +121,8 @@
     /// Connects; the caller bounds the time.
     pub async fn open(address: SocketAddr, slot: Slot) -> Result<Conn, Box<dyn std::error::Error>> {
         let socket = Socket::new(TcpStream::connect(address).await?, slot);
-        let (sender, connection) = http1::handshake(TokioIo::new(socket.clone())).await?;
+        let builder = http1::Builder::new().max_buf_size(BUFFER).to_owned();
+        let (sender, connection) = builder.handshake(TokioIo::new(socket.clone())).await?;
         Ok(Conn { sender, connection: Some(Box::pin(connection)), socket })
     }
 
@@ -105,16 +141,46 @@
         .await
     }
 
+    /// One request and the head of its answer.
+    async fn begin(&mut self, request: Request<Outgoing>) -> Result<Response<Incoming>, hyper::Error> {
+        let sent = self.sender.send_request(request);
+        Conn::drive(&mut self.connection, sent).await
+    }
+
+    /// The rest of an answer, whole.
+    async fn whole(&mut self, body: Incoming, limit: usize) -> Result<Bytes, BoxError> {
+        let body = Conn::drive(&mut self.connection, Limited::<Incoming>::new(body, limit).collect());
+        let body = body.await?.to_bytes();
+        self.settle().await;
+        Ok(body)
+    }
+
+    /// The next piece of an answer; none at its end.
+    async fn piece(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+        loop {
+            let Some(frame) = Conn::drive(&mut self.connection, body.frame()).await else {
+                self.settle().await;
+                return Ok(None);
+            };
+            // What is no data is a trailer, which is free to be left out.
+            if let Ok(data) = frame?.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
     /// One request and its whole answer.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Outgoing>,
         limit: usize,
-    ) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
-        let sent = self.sender.send_request(request);
-        let (head, body) = Conn::drive(&mut self.connection, sent).await?.into_parts();
-        let body = Conn::drive(&mut self.connection, Limited::<Incoming>::new(body, limit).collect());
-        let body = body.await?.to_bytes();
+    ) -> Result<Response<Bytes>, BoxError> {
+        let (head, body) = self.begin(request).await?.into_parts();
+        let body = self.whole(body, limit).await?;
+        Ok(Response::from_parts(head, body))
+    }
+
+    async fn settle(&mut self) {
         // One more turn: the connection sees that the answer is over and is ready for the next.
         poll_fn(|cx| {
             if self.connection.as_mut().is_some_and(|c| c.as_mut().poll(cx).is_ready()) {
@@ -123,7 +189,6 @@
             Poll::Ready(())
         })
         .await;
-        Ok(Response::from_parts(head, body))
     }
 
     /// Open at both ends and with nothing unread, which would be a farewell.
@@ -145,16 +210,33 @@
     pub address: SocketAddr,
     /// What to send.
     pub call: Rc<Call>,
-    /// When to stop waiting.
-    pub until: Instant,
+    /// How long to wait: from now or, where the request is long, from its last byte.
+    pub timeout: Duration,
+}
+
+impl Errand {
+    /// When to stop waiting for a connection.
+    fn connect_until(&self, begun: Instant) -> Instant {
+        begun + self.timeout
+    }
+
+    /// Ends when the wait for the answer is over.
+    async fn overdue(&self, begun: Instant) {
+        let from = match &self.call.upload {
+            Some(upload) => upload.finished().await,
+            None => begun,
+        };
+        tokio::time::sleep_until((from + self.timeout).into()).await;
+    }
 }
 
 /// The connections to backends.
 pub struct Upstream {
     idle: RefCell<HashMap<BackendId, Vec<Idle>>>,
     descriptors: Rc<Descriptors>,
-    connect_limit: Duration,
-    idle_limit: Duration,
+    connect_limit: Cell<Duration>,
+    idle_limit: Cell<Duration>,
+    transfers: Semaphore,
 }
 
 /// The process or the whole machine has no descriptor left (EMFILE, ENFILE).
@@ -168,18 +250,31 @@
 
 impl Upstream {
     /// No connections yet.
-    pub fn new(descriptors: Rc<Descriptors>, connect_timeout_ms: f64, conn_idle_ms: f64) -> Rc<Upstream> {
+    pub fn new(
+        descriptors: Rc<Descriptors>,
+        memory: usize,
+        connect_timeout_ms: f64,
+        conn_idle_ms: f64,
+    ) -> Rc<Upstream> {
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
             descriptors: descriptors.clone(),
-            connect_limit: millis(connect_timeout_ms),
-            idle_limit: millis(conn_idle_ms * IDLE_PART),
+            connect_limit: Cell::new(millis(connect_timeout_ms)),
+            idle_limit: Cell::new(millis(conn_idle_ms * IDLE_PART)),
+            transfers: Semaphore::new((memory / TRANSFER_PART / TRANSFER).max(1)),
         });
         let weak = Rc::downgrade(&upstream);
         descriptors.on_pressure(Box::new(move || weak.upgrade().is_some_and(|u| u.drop_oldest())));
         upstream
     }
 
+    /// A place for a long transfer, where one is free or turns free within `wait`.
+    pub async fn place(self: &Rc<Self>, wait: Duration) -> Option<Place> {
+        let permit = tokio::time::timeout(wait, self.transfers.acquire()).await.ok()?.ok()?;
+        permit.forget();
+        Some(Place(self.clone()))
+    }
+
     /// Closes the connections to a backend that carry nothing.
     ///
     /// Not only for the decisions: a backend that broke a connection, or does not answer a probe, may have
@@ -200,7 +295,7 @@
     /// Closes what has been idle for long and what the backend has closed.
     pub fn sweep(&self) {
         for list in self.idle.borrow_mut().values_mut() {
-            list.retain(|i| i.since.elapsed() < self.idle_limit && i.conn.alive());
+            list.retain(|i| i.since.elapsed() < self.idle_limit.get() && i.conn.alive());
         }
     }
 
@@ -209,7 +304,7 @@
         let list = idle.get_mut(&backend)?;
         while let Some(Idle { conn, since }) = list.pop() {
             // Looked at once more here: the sweep may be late, and the backend may have closed it since.
-            if since.elapsed() < self.idle_limit && conn.alive() {
+            if since.elapsed() < self.idle_limit.get() && conn.alive() {
                 return Some(conn);
             }
         }
@@ -237,7 +332,7 @@
         if let Some(conn) = self.take_idle(backend) {
             return Ok(conn);
         }
-        let limit = || self.connect_limit.min(until.saturating_duration_since(Instant::now()));
+        let limit = || self.connect_limit.get().min(until.saturating_duration_since(Instant::now()));
         let slot = tokio::time::timeout(limit(), self.descriptors.take()).await;
         let slot = slot.map_err(|_| Outcome::Skipped)?;
         match tokio::time::timeout(limit(), Conn::open(address, slot)).await {
@@ -249,10 +344,18 @@
         }
     }
 
-    /// Sends one attempt and waits for its end. `wanted` says whether request and backend still stand.
-    /// A connection that may be kept comes back.
-    pub async fn attempt(&self, errand: &Errand, wanted: impl Fn() -> bool) -> (Finish, Option<Conn>) {
-        let mut conn = match self.connection(errand.backend, errand.address, errand.until).await {
+    /// Sends one attempt and waits for its end. `wanted` says whether request and backend still stand. A long
+    /// answer is handed to `started` with its first bytes and passed on from there. A connection that may be
+    /// kept comes back.
+    pub async fn attempt(
+        self: &Rc<Self>,
+        errand: &Errand,
+        wanted: impl Fn() -> bool,
+        started: impl FnOnce(Reply, Duration),
+    ) -> (Finish, Option<Conn>) {
+        let begun = Instant::now();
+        let until = errand.connect_until(begun);
+        let mut conn = match self.connection(errand.backend, errand.address, until).await {
             Ok(conn) => conn,
             Err(outcome) => return (outcome.into(), None),
         };
@@ -261,22 +364,91 @@
             return (Outcome::NotConnected.into(), None);
         }
         let written = conn.socket.written();
-        let left = errand.until.saturating_duration_since(Instant::now());
+        let left = until.saturating_duration_since(Instant::now());
         let request = errand.call.request(errand.address, left);
-        let answer = tokio::time::timeout(left, conn.exchange(request, BODY_LIMIT)).await;
-        let finish = match answer {
-            Ok(Ok(answer)) => finish(answer),
-            // Not one byte of it left this node: it never ran.
-            _ if conn.socket.written() == written => return (Outcome::NotConnected.into(), None),
-            Err(_) => return (Outcome::TimedOut.into(), None),
-            // Served in part or past the limit is no answer; what was written may have run.
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return (Outcome::Error.into(), None),
-            Ok(Err(_)) => {
-                self.release(errand.backend);
-                return (Outcome::Reset.into(), None);
+        // Before the request's last byte for a long one, after its first for all: when nothing can have run.
+        let never_ran = |conn: &Conn| match &errand.call.upload {
+            Some(upload) => upload.finished_at().is_none(),
+            None => conn.socket.written() == written,
+        };
+        let mut overdue = pin!(errand.overdue(begun));
+        let exchange = async {
+            let (head, mut body) = conn.begin(request).await?.into_parts();
+            if head.status != StatusCode::OK {
+                let body = conn.whole(body, BODY_LIMIT).await?;
+                return Ok::<_, BoxError>((head, First::Whole(body)));
             }
+            let first = conn.first(&mut body).await?;
+            Ok((head, first.with(body)))
         };
-        (finish, Some(conn))
+        let answer = tokio::select! {
+            biased;
+            answer = exchange => answer,
+            () = overdue.as_mut() => {
+                let outcome = if never_ran(&conn) { Outcome::NotConnected } else { Outcome::TimedOut };
+                return (outcome.into(), None);
+            }
+        };
+        let took = errand.call.upload.as_ref().and_then(|u| u.finished_at()).map(|at| at.elapsed());
+        let (head, first) = match answer {
+            Ok(answer) => answer,
+            Err(e) => return (self.broken(errand, never_ran(&conn), &e), None),
+        };
+        match first {
+            First::Whole(body) => {
+                let finish = finish(Response::from_parts(head, body));
+                (Finish { took, ..finish }, Some(conn))
+            }
+            First::Long { first, rest } => {
+                // The wait for a place ends like any other wait.
+                let place = match &errand.call.upload {
+                    Some(_) => None,
+                    None => tokio::select! {
+                        place = self.place(errand.timeout) => place,
+                        () = overdue.as_mut() => None,
+                    },
+                };
+                if place.is_none() && errand.call.upload.is_none() {
+                    // This node's own want, and nothing against the backend.
+                    return (Outcome::Cancelled.into(), None);
+                }
+                let took = took.unwrap_or_else(|| begun.elapsed());
+                let (pieces, receiver) = mpsc::channel(1);
+                let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
+                let body = ReplyBody::Long { length, pieces: receiver };
+                let content_type = head.headers.get(CONTENT_TYPE).cloned();
+                // The channel is new and empty.
+                let _ = pieces.try_send(Piece::Data(first));
+                started(Reply { body, content_type }, took);
+                let outcome = conn.pass_on(rest, pieces).await;
+                drop(place);
+                let whole = outcome == Outcome::Done;
+                let load = load_of(&head);
+                (Finish { took: Some(took), load, ..outcome.into() }, whole.then_some(conn))
+            }
+        }
+    }
+
+    /// What it means that an attempt broke.
+    fn broken(&self, errand: &Errand, never_ran: bool, e: &BoxError) -> Finish {
+        match &errand.call.upload {
+            Some(upload) if upload.too_long() => {
+                let rejected = Some(StatusCode::PAYLOAD_TOO_LARGE);
+                return Finish { rejected, ..Outcome::Rejected.into() };
+            }
+            // The client's doing, and nothing against the backend.
+            Some(upload) if upload.cut() => return Outcome::Cancelled.into(),
+            _ => {}
+        }
+        if never_ran {
+            return Outcome::NotConnected.into();
+        }
+        // Served in part or past the limit is no answer; what was written may have run.
+        if e.is::<LengthLimitError>() {
+            return Outcome::Error.into();
+        }
+        self.release(errand.backend);
+        Outcome::Reset.into()
     }
 
     /// Asks a backend whether it is there.
@@ -296,6 +468,7 @@
             target: Uri::from_static(path),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            upload: None,
         };
         let left = until.saturating_duration_since(Instant::now());
         let request = call.request(address, left);
@@ -318,9 +491,86 @@
     }
 }
 
+/// The beginning of an answer: all of it, or enough to know that there is more.
+enum First<B = ()> {
+    Whole(Bytes),
+    Long { first: Bytes, rest: B },
+}
+
+impl First {
+    fn with(self, rest: Incoming) -> First<Incoming> {
+        match self {
+            First::Whole(body) => First::Whole(body),
+            First::Long { first, rest: () } => First::Long { first, rest },
+        }
+    }
+}
+
+impl Conn {
+    /// Reads until the answer is over or known to be long.
+    async fn first(&mut self, body: &mut Incoming) -> Result<First, BoxError> {
+        let announced = body.size_hint().lower() > BODY_LIMIT as u64;
+        let told = body.size_hint().exact().is_some();
+        let until = Instant::now() + HOLD;
+        let mut first = BytesMut::new();
+        loop {
+            let piece = if told || first.is_empty() {
+                self.piece(body).await?
+            } else {
+                // Nobody knows whether more comes; what is there is held no longer than this.
+                match tokio::time::timeout_at(until.into(), self.piece(body)).await {
+                    Ok(piece) => piece?,
+                    Err(_) => return Ok(First::Long { first: first.freeze(), rest: () }),
+                }
+            };
+            match piece {
+                None => return Ok(First::Whole(first.freeze())),
+                Some(piece) if announced => return Ok(First::Long { first: piece, rest: () }),
+                Some(piece) => first.extend_from_slice(&piece),
+            }
+            if first.len() > BODY_LIMIT {
+                return Ok(First::Long { first: first.freeze(), rest: () });
+            }
+        }
+    }
+
+    /// Passes the rest of an answer on, each piece once the one before was taken.
+    async fn pass_on(&mut self, mut body: Incoming, pieces: mpsc::Sender<Piece>) -> Outcome {
+        loop {
+            let piece = tokio::select! {
+                piece = tokio::time::timeout(SILENCE, self.piece(&mut body)) => piece,
+                () = pieces.closed() => return Outcome::Cancelled,
+            };
+            let (next, outcome) = match piece {
+                Err(_) => return Outcome::TimedOut,
+                Ok(Err(_)) => return Outcome::Reset,
+                Ok(Ok(Some(data))) => (Piece::Data(data), None),
+                Ok(Ok(None)) => (Piece::End, Some(Outcome::Done)),
+            };
+            match (pieces.send(next).await, outcome) {
+                (_, Some(outcome)) => return outcome,
+                (Err(_), None) => return Outcome::Cancelled,
+                (Ok(()), None) => {}
+            }
+        }
+    }
+}
+
+/// A long transfer's place; given back when dropped.
+pub struct Place(Rc<Upstream>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.transfers.add_permits(1);
+    }
+}
+
 impl Call {
-    fn request(&self, address: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, address: SocketAddr, left: Duration) -> Request<Outgoing> {
+        let mut request = Request::new(match &self.upload {
+            None => Outgoing::whole(self.body.clone()),
+            Some(upload) => Outgoing::long(self.body.clone(), upload.clone()),
+        });
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.headers.clone();
@@ -336,11 +586,16 @@
     }
 }
 
+fn load_of(head: &Parts) -> Load {
+    let report = head.headers.get(LOAD).and_then(|v| v.to_str().ok());
+    report.map(wire::load_report).unwrap_or_default()
+}
+
 /// What a backend's whole answer says.
 fn finish(answer: Response<Bytes>) -> Finish {
     let (head, body) = answer.into_parts();
     let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-    let load = header(LOAD).map(wire::load_report).unwrap_or_default();
+    let load = load_of(&head);
     let unseen = header(NEVER_RAN) == Some("1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Done,
@@ -357,7 +612,7 @@
         _ => Outcome::Error,
     };
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let reply = (outcome == Outcome::Done).then_some(Reply { body, content_type });
+    let reply = (outcome == Outcome::Done).then_some(Reply { body: ReplyBody::Whole(body), content_type });
     let rejected = (outcome == Outcome::Rejected).then_some(head.status);
-    Finish { outcome, reply, load, rejected }
+    Finish { outcome, reply, load, rejected, took: None }
 }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -466,6 +466,23 @@
     }
 }
 
+#[test]
+fn a_long_answer_is_judged_by_its_first_bytes() {
+    let refused = |told: bool| {
+        let mut w = safe(5);
+        w.warm_up(100, 0, 20.0);
+        (0..150)
+            .filter(|n| {
+                let id = w.ask(0, Some(*n));
+                w.stream(id, 15.0, 900.0, told);
+                w.answer(id) == Some("refused")
+            })
+            .count()
+    };
+    assert_eq!(refused(true), 0);
+    assert!(refused(false) > 10, "or the clock of this test says nothing");
+}
+
 #[test]
 fn quick_errors_everywhere_are_passed_on_without_a_flood() {
     let mut w = safe(5);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -295,6 +295,35 @@
         self.feed(Event::Ended { id, attempt: n as u32, backend, outcome, last, elapsed_ms, load });
     }
 
+    /// Plays a long answer whose first bytes come after `first` and its last ones after `rest` more.
+    pub fn stream(&mut self, id: RequestId, first: f64, rest: f64, told: bool) {
+        self.wait(first);
+        let Some(n) = self.asked[&id].attempts.iter().position(|a| a.outcome.is_none()) else { return };
+        let backend = self.asked[&id].attempts[n].backend;
+        if let Some(asked) = self.asked.get_mut(&id) {
+            // What has begun is not timed out.
+            asked.attempts[n].ends = f64::INFINITY;
+        }
+        if told {
+            self.feed(Event::Started { id, attempt: n as u32, backend, elapsed_ms: first });
+        }
+        self.wait(rest);
+        if let Some(asked) = self.asked.get_mut(&id) {
+            asked.attempts[n].outcome = Some(Outcome::Done);
+            asked.answer = Some("done");
+        }
+        let (outcome, load) = (Outcome::Done, Load::default());
+        self.feed(Event::Ended {
+            id,
+            attempt: n as u32,
+            backend,
+            outcome,
+            last: true,
+            elapsed_ms: first,
+            load,
+        });
+    }
+
     pub fn left(&mut self, id: RequestId) {
         if let Some(a) = self.asked.get_mut(&id) {
             a.answer.get_or_insert("left");
--- /dev/null
+++ b/tests/node_long.rs
@@ -0,0 +1,251 @@
+//! Long and slow bodies, both ways.
+mod node;
+
+use node::*;
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bytes that no shift or gap leaves as they are.
+fn pattern(length: usize) -> Vec<u8> {
+    (0..length).map(|n| (n.wrapping_mul(2_654_435_761) >> 13) as u8).collect()
+}
+
+fn head(framing: &str) -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\r\nContent-Type: x/y\r\n{framing}\r\n\r\n").into_bytes()
+}
+
+fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for chunk in body.chunks(size) {
+        bytes.extend_from_slice(format!("{:x};ext=\"1\"\r\n", chunk.len()).as_bytes());
+        bytes.extend_from_slice(chunk);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\nX-Trailer: t\r\n\r\n");
+    bytes
+}
+
+/// A request of a class whose body comes in a chunked or a plain form.
+fn upload(class: &str, expires_ms: u64, framing: &str) -> Vec<u8> {
+    let key = if class == "pay" { "Idempotency-Key: k\r\n" } else { "" };
+    format!(
+        "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: 1\r\nX-Qos: {class}\r\n{key}\
+         X-Expires-In-Ms: {expires_ms}\r\n{framing}\r\n\r\n"
+    )
+    .into_bytes()
+}
+
+#[test]
+fn a_long_answer_passes_in_every_framing() {
+    let body = pattern(3_000_001);
+    let whole = [head(&format!("Content-Length: {}", body.len())), body.clone()].concat();
+    let pieces = [head("Transfer-Encoding: chunked"), chunked(&body, 50_000)].concat();
+    let to_the_end = [head("Connection: close"), body.clone()].concat();
+    let interim = [b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".to_vec(), whole.clone()].concat();
+    for act in [Act::Say(whole), Act::Say(pieces), Act::SayAndCloseLater(to_the_end), Act::Say(interim)] {
+        let record = Record::default();
+        let addresses = backends(1, &record, move |_, _| act.clone());
+        let discovery = Discovery::start(all_up(&addresses));
+        let node = Node::start(discovery.address, |_| {});
+        let mut client = Client::connect(node.address);
+        for _ in 0..2 {
+            let answer = client.ask(&request("page", 4000));
+            assert_eq!((answer.status(), answer.header("content-type")), (200, Some("x/y")));
+            assert!(answer.body == body, "{} bytes", answer.body.len());
+        }
+    }
+}
+
+#[test]
+fn what_has_begun_is_not_cut_at_the_deadline_nor_held_back() {
+    let body = pattern(400_000);
+    let parts: Vec<(u64, Vec<u8>)> = [(0, head("Content-Length: 400000"))]
+        .into_iter()
+        .chain(body.chunks(80_000).map(|part| (300, part.to_vec())))
+        .collect();
+    let slow = [(0, head("Transfer-Encoding: chunked")), (0, b"5\r\nfirst\r\n".to_vec())];
+    let slow: Vec<_> = slow.into_iter().chain([(1800, chunked(&body, 30_000))]).collect();
+    let record = Record::default();
+    let addresses =
+        backends(1, &record, move |n, _| Act::Parts(if n == 0 { parts.clone() } else { slow.clone() }));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let begun = Instant::now();
+    let answer = ask(node.address, &request("bid", 600));
+    assert!(begun.elapsed() > Duration::from_millis(1400));
+    assert!(answer.body == body, "{} bytes", answer.body.len());
+    // Of unknown length, with a pause: what is there comes at once.
+    let mut client = Client::connect(node.address);
+    let begun = Instant::now();
+    client.send(&request("page", 1200));
+    assert!(client.first_byte());
+    assert!(begun.elapsed() < Duration::from_millis(1200), "{:?}", begun.elapsed());
+    let answer = client.answer().unwrap();
+    assert!(answer.body == [b"first".as_slice(), &body].concat(), "{} bytes", answer.body.len());
+    assert_eq!(record.count(), 2);
+}
+
+#[test]
+fn an_answer_that_breaks_off_cannot_be_taken_for_whole() {
+    let body = pattern(300_000);
+    let cut = |framing: &str| [head(framing), body.clone()].concat();
+    let acts = [
+        Act::SayAndCloseLater(cut("Content-Length: 400000")),
+        Act::SayAndCloseLater(
+            [head("Transfer-Encoding: chunked"), b"40000\r\n".to_vec(), body.clone()].concat(),
+        ),
+    ];
+    for act in acts {
+        let record = Record::default();
+        let addresses = backends(2, &record, move |_, _| act.clone());
+        let discovery = Discovery::start(all_up(&addresses));
+        let node = Node::start(discovery.address, |_| {});
+        let mut client = Client::connect(node.address);
+        client.send(&request("page", 4000));
+        assert!(client.answer().is_none(), "a whole answer");
+        assert_eq!(record.count(), 1, "an answer that was passed on in part is not asked for again");
+        assert_eq!(node.up(), 200);
+    }
+}
+
+#[test]
+fn a_long_request_goes_on_as_it_comes_and_its_time_runs_from_its_last_byte() {
+    let body = pattern(1_000_000);
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"done"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    for (n, framing) in ["Content-Length: 1000000", "Transfer-Encoding: chunked"].into_iter().enumerate() {
+        let mut client = Client::connect(node.address);
+        assert!(client.send(&upload("bid", 400, framing)));
+        let bytes = if n == 0 { body.clone() } else { chunked(&body, 70_000) };
+        for part in bytes.chunks(bytes.len() / 10) {
+            assert!(client.send(part));
+            thread::sleep(Duration::from_millis(100));
+        }
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"done".as_slice()));
+        let seen = record.seen.lock().unwrap();
+        assert_eq!(seen.len(), n + 1);
+        assert!(seen[n].body == body, "{} bytes", seen[n].body.len());
+    }
+}
+
+#[test]
+fn a_client_may_take_its_time_for_head_and_body() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| ok(b"done"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let bytes =
+        [upload("bid", 900, "Expect: 100-continue\r\nContent-Length: 60000"), pattern(60_000)].concat();
+    let mut client = Client::connect(node.address);
+    let (head, body) = bytes.split_at(bytes.len() - 60_000);
+    for part in head.chunks(head.len() / 9) {
+        assert!(client.send(part));
+        thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(client.interim().as_deref(), Some("HTTP/1.1 100 Continue"));
+    for part in body.chunks(6_400) {
+        assert!(client.send(part));
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(client.answer().map(|a| a.status()), Some(200));
+    assert!(record.seen.lock().unwrap()[0].body == body);
+}
+
+#[test]
+fn a_long_request_is_not_sent_twice_once_part_of_it_is_gone() {
+    // It answers before it has read the body: the rest of that is read and dropped, and the client told.
+    let record = Record::default();
+    let early = move |_: usize, _: &Message| ok(b"never");
+    let addresses = backends(1, &record, early);
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let dead = gone.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in gone.incoming() {
+            // Takes the head and some of the body, then breaks off.
+            let mut stream = stream.unwrap();
+            let mut piece = [0; 100_000];
+            let _ = std::io::Read::read(&mut stream, &mut piece);
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let discovery = Discovery::start(vec![target("s-0", dead, "up")]);
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&upload("pay", 2000, "Content-Length: 3000000")));
+    for part in pattern(3_000_000).chunks(100_000) {
+        assert!(client.send(part), "the client is read to its end");
+        thread::sleep(Duration::from_millis(5));
+    }
+    let answer = client.answer().expect("an answer");
+    assert!(matches!(answer.status(), 502 | 503), "{}", answer.first_line);
+    drop((addresses, discovery));
+    assert_eq!(record.count(), 0);
+}
+
+#[test]
+fn a_client_that_leaves_a_long_transfer_frees_the_backend() {
+    let body = pattern(8_000_000);
+    let bytes = [head("Content-Length: 8000000"), body].concat();
+    let record = Record::default();
+    let addresses = backends(1, &record, move |_, _| Act::Say(bytes.clone()));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut client = Client::connect(node.address);
+    client.send(&request("page", 4000));
+    assert!(client.first_byte());
+    drop(client);
+    wait_for("the attempt's connection is closed", || record.open_now() == 0);
+    let mut client = Client::connect(node.address);
+    client.send(&upload("bid", 900, "Content-Length: 3000000"));
+    client.send(&pattern(500_000));
+    wait_for("the request is on its way", || record.opened.load(Ordering::SeqCst) == 2);
+    drop(client);
+    wait_for("the attempt's connection is closed", || record.open_now() == 0);
+    assert_eq!(record.count(), 1, "half a request is none");
+    assert_eq!(node.up(), 200);
+}
+
+#[test]
+fn more_long_bodies_than_memory_holds_pass_within_it() {
+    const LENGTH: usize = 4_000_000;
+    let bytes = [head(&format!("Content-Length: {LENGTH}")), pattern(LENGTH)].concat();
+    let record = Record::default();
+    let addresses =
+        backends(
+            4,
+            &record,
+            move |_, message| {
+                if message.body.is_empty() { Act::Say(bytes.clone()) } else { ok(b"done") }
+            },
+        );
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["limits"]["memory_mb"] = 32.into());
+    let address = node.address;
+    let clients: Vec<_> = (0..40)
+        .map(|n| {
+            thread::spawn(move || {
+                let mut client = Client::connect(address);
+                if n % 2 == 0 {
+                    client.send(&request("page", 4000));
+                    // Slow to read.
+                    thread::sleep(Duration::from_millis(500));
+                    let answer = client.answer().expect("an answer");
+                    (answer.status(), answer.status() != 200 || answer.body == pattern(LENGTH))
+                } else {
+                    client.send(&upload("pay", 4000, &format!("Content-Length: {LENGTH}")));
+                    let sent = client.stream.write_all(&pattern(LENGTH)).is_ok();
+                    (client.answer().expect("an answer").status(), sent)
+                }
+            })
+        })
+        .collect();
+    let ends: Vec<(u16, bool)> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+    assert!(ends.iter().all(|(status, whole)| matches!(status, 200 | 502 | 503) && *whole), "{ends:?}");
+    assert!(ends.iter().filter(|(status, _)| *status == 200).count() > 10, "{ends:?}");
+    assert!(node.most_memory() < 32 << 20, "{} bytes", node.most_memory());
+}
