Take new settings on SIGHUP, the whole file or none of it

Seen: SIGHUP took discovery's address alone; new classes were held to be unknown and missing keys passed. config.rs holds the new file against the running one, wire.rs renumbers, the module takes settings by one event.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -361,28 +361,15 @@
     /// # Errors
     /// Settings that cannot be run on: no class, or a figure outside its range.
     pub fn new(settings: Settings, seed: u64) -> Result<Balancer, SettingsError> {
-        let s = settings;
-        s.check()?;
-        let (classes, tenants) = (s.classes.len(), s.tenants.len());
-        Ok(Balancer {
+        settings.check()?;
+        let mut balancer = Balancer {
             rng: fastrand::Rng::with_seed(seed),
             backends: Vec::new(),
             places: Vec::new(),
             open: HashMap::new(),
-            learned: vec![Learned::default(); classes],
+            learned: Vec::new(),
             keys: KeyCounts::new(),
-            admission: Admission {
-                level: 1.0,
-                room: 1.0,
-                offered: vec![[0.0; 2]; classes],
-                chance: vec![[1.0; 2]; classes],
-                part: vec![[1.0; 2]; classes],
-                tenants: vec![0.0; tenants],
-                tenant_count: vec![0; tenants],
-                retry: 3.0,
-                spill: 3.0,
-                ..Admission::default()
-            },
+            admission: Admission { level: 1.0, room: 1.0, retry: 3.0, spill: 3.0, ..Admission::default() },
             tally: Tally::default(),
             fleet_failing: 0.0,
             in_flight: 0,
@@ -393,8 +380,25 @@
             warm_count: 0.0,
             ticked: 0.0,
             ask_failures: 0,
-            s,
-        })
+            s: settings.clone(),
+        };
+        balancer.take_on(settings);
+        Ok(balancer)
+    }
+
+    /// Takes settings on, first or new ones. A class whose number stood for another is learned anew; requests
+    /// that are open under a number find what it stood for, as the host gives none away that is held.
+    fn take_on(&mut self, s: Settings) {
+        let same = |i: usize| self.s.classes.get(i) == s.classes.get(i);
+        let learned = |i| self.learned.get(i).filter(|_| same(i)).cloned().unwrap_or_default();
+        self.learned = (0..s.classes.len()).map(learned).collect();
+        let a = &mut self.admission;
+        a.offered.resize(s.classes.len(), [0.0; 2]);
+        a.chance.resize(s.classes.len(), [1.0; 2]);
+        a.part.resize(s.classes.len(), [1.0; 2]);
+        a.tenants.resize(s.tenants.len(), 0.0);
+        a.tenant_count.resize(s.tenants.len(), 0);
+        self.s = s;
     }
 
     /// Takes one event at the time `now` and adds what is to be done to `out`.
@@ -430,7 +434,8 @@
                     o.aim_at = if elapsed_ms <= o.aim_at - o.arrived { f64::INFINITY } else { now };
                 }
             }
-            Event::Timer(_) => {}
+            Event::Settings(s) if s.check().is_ok() => self.take_on(*s),
+            Event::Timer(_) | Event::Settings(_) => {}
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -261,6 +261,7 @@
             ("limits.maxRetryAfterMs", self.max_retry_after_ms, 0.0),
             ("rules.mustAskInMs", self.must_ask_in_ms, 0.0),
             ("limits.connIdleMs", self.conn_idle_ms, 0.0),
+            ("limits.connectTimeoutMs", self.connect_timeout_ms, f64::MIN_POSITIVE),
             ("overShareWorth", self.over_share_worth, 0.0),
             ("tickMs", self.tick_ms, 0.0),
             ("instances", f64::from(self.instances), 1.0),
@@ -384,6 +385,9 @@
 pub enum Event {
     /// The node is up. Comes once, first.
     Start,
+    /// New settings, for all that follows. A request keeps its class by number: the host gives a number that one
+    /// holds to no other class. Settings that cannot be run on change nothing.
+    Settings(Box<Settings>),
     /// News of the list.
     List {
         /// What the entries are.
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,11 +1,21 @@
-//! `LB_CONFIG` and the environment, read into typed settings.
+//! `LB_CONFIG` and the environment, read into typed settings; and the file read again while the node serves.
 
 use birchspoke::interface::Settings;
-use birchspoke::wire::{self, Names, WireError};
+use birchspoke::wire::{self, Names, WireError, renumber};
 use serde_json::Value;
+use std::cell::RefCell;
+use std::fs::File;
+use std::io::Read;
+use std::mem::discriminant;
 use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
 use thiserror::Error;
 
+/// A longer file is no configuration.
+const LONGEST: u64 = 64 * 1024 * 1024;
+/// Lists whose entries have names, and may come and go.
+const NAMED: [&str; 2] = ["classes", "tenants"];
+
 /// All that a node is told at its start.
 pub struct Config {
     /// This node's name.
@@ -34,6 +44,8 @@
     pub settings: Settings,
     /// Names of classes, tenants and zones.
     pub names: Names,
+    /// The file, less the list.
+    pub file: Value,
 }
 
 /// Why no node can be started from this configuration.
@@ -104,22 +116,143 @@
 fn file() -> Result<Value, ConfigError> {
     let path = std::env::var("LB_CONFIG").map_err(|_| ConfigError::Unset)?;
     let bad = |reason: String| ConfigError::File { path: path.clone(), reason };
-    let content = std::fs::read_to_string(&path).map_err(|e| bad(e.to_string()))?;
+    let open = File::open(&path).and_then(|f| f.metadata().map(|m| (f, m)));
+    let (file, about) = open.map_err(|e| bad(e.to_string()))?;
+    if !about.is_file() {
+        // One that somebody has to write first would be waited for.
+        return Err(bad("not a file".to_owned()));
+    }
+    let mut content = String::new();
+    file.take(LONGEST).read_to_string(&mut content).map_err(|e| bad(e.to_string()))?;
     serde_json::from_str(&content).map_err(|e| bad(e.to_string()))
 }
 
+/// What of a new file has to be as in the running one: the keys that it had, and under `settings` their types.
+/// Entries of named lists may come and go; a new one needs the keys that all running ones had.
+fn kept(path: &str, old: &Value, new: &Value) -> Result<(), ConfigError> {
+    if new.is_null() && !old.is_null() {
+        return Err(wrong(path, "missing"));
+    }
+    if path.starts_with("settings") && !old.is_null() && discriminant(old) != discriminant(new) {
+        return Err(wrong(path, "of another type than in the running file"));
+    }
+    let at = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    let Value::Object(fields) = old else { return Ok(()) };
+    for (key, old) in fields {
+        let new = new.get(key).unwrap_or(&Value::Null);
+        kept(&at(key), old, new)?;
+        if let (true, Some(old), Some(new)) =
+            (NAMED.contains(&key.as_str()), old.as_array(), new.as_array())
+        {
+            entries_kept(&at(key), old, new)?;
+        }
+    }
+    Ok(())
+}
+
+fn entries_kept(path: &str, old: &[Value], new: &[Value]) -> Result<(), ConfigError> {
+    for (n, entry) in new.iter().enumerate() {
+        let name = entry.get("name");
+        if new.iter().take(n).any(|e| e.get("name") == name) {
+            return Err(wrong(path, format!("the name of entry {n} is given twice")));
+        }
+        match old.iter().find(|e| e.get("name") == name) {
+            Some(old) => kept(&format!("{path}.{n}"), old, entry)?,
+            None => {
+                let common =
+                    |key: &&String| old.iter().all(|e| e.get(key.as_str()).is_some_and(|v| !v.is_null()));
+                let keys = old.first().and_then(Value::as_object).into_iter().flat_map(|o| o.keys());
+                for key in keys.filter(common) {
+                    let of = |e: &Value| e.get(key.as_str()).cloned().unwrap_or_default();
+                    kept(
+                        &format!("{path}.{n}.{key}"),
+                        &old.first().map(of).unwrap_or_default(),
+                        &of(entry),
+                    )?;
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The settings that hold, with the names of their numbers.
+#[derive(Debug)]
+pub struct Rules {
+    /// What the decisions go by.
+    pub settings: Settings,
+    /// Names of classes, tenants and zones.
+    pub names: Names,
+}
+
+/// The rules of now. Whoever holds a class's or tenant's number holds the rules that it is from as well.
+pub struct Current {
+    rules: RefCell<Rc<Rules>>,
+    past: RefCell<Vec<Weak<Rules>>>,
+}
+
+impl Current {
+    /// The first ones.
+    pub fn new(settings: Settings, names: Names) -> Rc<Current> {
+        let rules = RefCell::new(Rc::new(Rules { settings, names }));
+        Rc::new(Current { rules, past: RefCell::default() })
+    }
+
+    /// Those of now.
+    pub fn get(&self) -> Rc<Rules> {
+        self.rules.borrow().clone()
+    }
+
+    /// Puts new ones in their place, with numbers that no holder of earlier ones takes for others.
+    pub fn succeed(&self, settings: Settings, names: Names) -> Rc<Rules> {
+        let mut past = self.past.borrow_mut();
+        past.retain(|rules| rules.strong_count() > 0);
+        let mut rules = self.rules.borrow_mut();
+        let old = (&rules.settings, &rules.names);
+        let (settings, names) = renumber(old, (settings, names), !past.is_empty());
+        past.push(Rc::downgrade(&rules));
+        *rules = Rc::new(Rules { settings, names });
+        rules.clone()
+    }
+}
+
+/// A file that was taken.
+pub struct Reload {
+    /// The file, to hold the next one against.
+    pub file: Value,
+    /// Where discovery answers now.
+    pub discovery: SocketAddr,
+    /// The settings, numbered by themselves.
+    pub settings: Settings,
+    /// Their names.
+    pub names: Names,
+}
+
+impl Reload {
+    /// Reads the file again and holds it against the running one: all of it can be taken, or none is.
+    pub fn read(running: &Value) -> Result<Reload, ConfigError> {
+        Reload::check(running, file()?)
+    }
+
+    fn check(running: &Value, file: Value) -> Result<Reload, ConfigError> {
+        kept("", running, &file)?;
+        // The environment is as old as the process: it has no say in this.
+        let discovery =
+            address_of(&file, "discovery", None)?.ok_or_else(|| wrong("discovery", "missing"))?;
+        let Config { settings, names, file, .. } = Config::read(file)?;
+        settings.check().map_err(|e| wrong("settings", e.to_string()))?;
+        Ok(Reload { file, discovery, settings, names })
+    }
+}
+
 impl Config {
     /// Reads the file that `LB_CONFIG` names.
     pub fn load() -> Result<Config, ConfigError> {
-        Config::read(&file()?)
+        Config::read(file()?)
     }
 
-    /// Where discovery answers, by the file as it is now. The environment is as old as the process: it has no say.
-    pub fn reload_discovery() -> Result<SocketAddr, ConfigError> {
-        address_of(&file()?, "discovery", None)?.ok_or_else(|| wrong("discovery", "missing"))
-    }
-
-    fn read(json: &Value) -> Result<Config, ConfigError> {
+    fn read(mut file: Value) -> Result<Config, ConfigError> {
+        let json = &file;
         let missing = |field: &'static str| move || wrong(field, "missing");
         let listen = address_of(json, "listen", Some("LB_LISTEN"))?.ok_or_else(missing("listen"))?;
         let discovery =
@@ -142,20 +275,157 @@
         };
         let settings = json.get("settings").ok_or_else(missing("settings"))?;
         let (settings, names) = wire::settings(&settings.to_string())?;
+        let name = text(json, "name", Some("LB_NAME"))?.unwrap_or_default();
+        let operator = address_of(json, "operator", Some("LB_OPERATOR"))?;
+        let (peer_listen, peers_all) =
+            (address_of(json, "peer_listen", None)?, address_of(json, "peers_all", None)?);
+        // It may be long, and is of no use once it was read.
+        let empty = Value::Object(serde_json::Map::new());
+        let known = file.get_mut("known").map(|known| std::mem::replace(known, empty)).unwrap_or_default();
         Ok(Config {
-            name: text(json, "name", Some("LB_NAME"))?.unwrap_or_default(),
+            name,
             listen,
-            operator: address_of(json, "operator", Some("LB_OPERATOR"))?,
+            operator,
             discovery,
             seed,
             sockets,
             memory,
-            peer_listen: address_of(json, "peer_listen", None)?,
+            peer_listen,
             peers,
-            peers_all: address_of(json, "peers_all", None)?,
-            known: json.get("known").cloned().unwrap_or(Value::Null),
+            peers_all,
+            known,
             settings,
             names,
+            file,
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn running() -> Value {
+        json!({
+            "name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f",
+            "limits": {"sockets": 256}, "known": {"rev": 1, "all": true, "targets": []}, "peers": ["127.0.0.1:3"],
+            "settings": {
+                "instances": 2, "limits": {"attemptsCap": 3, "mayCancel": true},
+                "classes": [
+                    {"name": "page", "semantics": "idempotent", "hardLimitMs": 900, "group": "all"},
+                    {"name": "pay", "semantics": "at_most_once", "hardLimitMs": 500},
+                ],
+                "tenants": [{"name": "acme", "quotaRps": 5}],
+                "rules": {"coldMs": 9000, "startCapacity": 0.3, "fallMultiple": 3, "fallMs": 2000}
+            }
+        })
+    }
+
+    fn taken(change: impl FnOnce(&mut Value)) -> Result<Reload, String> {
+        let mut file = running();
+        change(&mut file);
+        let running = Config::read(running()).map_err(|e| e.to_string())?.file;
+        Reload::check(&running, file).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_file_that_can_be_taken_is_taken_whole() {
+        let new = taken(|f| {
+            f["discovery"] = "127.0.0.1:9".into();
+            f["known"] = json!({"rev": 7});
+            f["settings"]["limits"]["attemptsCap"] = 1.into();
+            f["settings"]["tenants"] = json!([]);
+            f["settings"]["classes"] = json!([
+                {"name": "pay", "semantics": "idempotent", "hardLimitMs": 0.5},
+                {"name": "new", "semantics": "at_most_once", "hardLimitMs": 700, "value": 2},
+            ]);
+        });
+        let new = new.unwrap();
+        assert_eq!((new.discovery.port(), new.settings.max_attempts), (9, 1));
+        assert_eq!((new.names.class("new"), new.names.class("page")), (1, usize::MAX));
+    }
+
+    #[test]
+    fn a_file_that_lacks_a_key_or_a_number_is_turned_down() {
+        let classes = |f: &mut Value, v: Value| f["settings"]["classes"][0]["hardLimitMs"] = v;
+        let attempts = |f: &mut Value, v: Value| f["settings"]["limits"]["attemptsCap"] = v;
+        for v in [json!(null), json!(0), json!(-1), json!("900"), json!([]), json!({})] {
+            assert!(taken(|f| classes(f, v.clone())).is_err(), "deadline {v}");
+            assert!(taken(|f| attempts(f, v.clone())).is_err(), "attempts {v}");
+        }
+        assert!(taken(|f| attempts(f, json!(1.5))).is_err());
+        let paths = [
+            ("", "listen"),
+            ("", "seed"),
+            ("", "peers"),
+            ("", "settings"),
+            ("", "discovery"),
+            ("", "known"),
+            ("/limits", "sockets"),
+            ("/settings", "instances"),
+            ("/settings", "classes"),
+            ("/settings", "tenants"),
+            ("/settings", "limits"),
+            ("/settings/limits", "mayCancel"),
+            ("/settings/rules", "fallMs"),
+            ("/settings/classes/0", "group"),
+            ("/settings/classes/1", "semantics"),
+            ("/settings/classes/1", "name"),
+            ("/settings/tenants/0", "quotaRps"),
+        ];
+        for (at, key) in paths {
+            let lacking = taken(|f| drop(f.pointer_mut(at).unwrap().as_object_mut().unwrap().remove(key)));
+            assert!(lacking.is_err(), "{at}/{key}");
+        }
+        let no_semantics = json!({"name": "new", "hardLimitMs": 5});
+        assert!(
+            taken(|f| f["settings"]["classes"][1] = no_semantics).is_err(),
+            "no default for a new class"
+        );
+        assert!(
+            taken(|f| f["settings"]["classes"][1]["name"] = "page".into()).is_err(),
+            "a name given twice"
+        );
+        assert!(taken(|f| f["settings"]["classes"] = json!([])).is_err(), "no class at all");
+        assert!(taken(|f| f["discovery"] = "nowhere".into()).is_err());
+        for not_even in [json!(null), json!([]), json!("x"), json!(5)] {
+            assert!(taken(|f| *f = not_even.clone()).is_err(), "{not_even}");
+        }
+    }
+
+    #[test]
+    fn a_class_number_that_is_held_never_comes_to_mean_another_class() {
+        let take = |file: Value| Reload::check(&running(), file).unwrap();
+        let first = take(running());
+        let current = Current::new(first.settings, first.names);
+        let holder = current.get();
+        let page = holder.names.class("page");
+        let before = holder.settings.classes[page].clone();
+        let mut stricter = running();
+        stricter["settings"]["classes"][0]["semantics"] = "at_most_once".into();
+        let mut gone = running();
+        gone["settings"]["classes"].as_array_mut().unwrap().remove(0);
+        let mut numbers = Vec::new();
+        for file in [&stricter, &gone, &stricter, &running(), &gone] {
+            let next = take(file.clone());
+            let rules = current.succeed(next.settings, next.names);
+            let held = &rules.settings.classes[page];
+            assert_eq!((held.effect, held.deadline_ms), (before.effect, before.deadline_ms));
+            assert_ne!(
+                rules.names.class("page"),
+                page,
+                "the number is held, by a class that changed or went"
+            );
+            assert_eq!(rules.names.class("pay"), 1, "what is the same keeps its number");
+            numbers.push(rules.settings.classes.len());
+        }
+        // Nobody holds the old ones any more: their numbers are used again.
+        drop(holder);
+        for file in [&stricter, &gone, &stricter, &gone, &stricter, &gone] {
+            let next = take(file.clone());
+            numbers.push(current.succeed(next.settings, next.names).settings.classes.len());
+        }
+        assert!(numbers.iter().max() <= Some(&6), "{numbers:?}");
+    }
+}
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of backends: the first one from the configuration, then a watch on discovery.
 
 use crate::body::Outgoing;
+use crate::config::Current;
 use crate::driver::{Driver, Input, Target};
 use crate::log;
 use crate::socket::Descriptors;
@@ -100,7 +101,7 @@
 }
 
 /// Waits until discovery moves; for ever where nobody can say so any more.
-async fn moved(address: &mut watch::Receiver<SocketAddr>) -> SocketAddr {
+async fn moved(address: &mut watch::Receiver<(SocketAddr, Discovery)>) -> (SocketAddr, Discovery) {
     if address.changed().await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -109,15 +110,13 @@
 
 /// Keeps the list fresh for as long as the node lives.
 pub struct Watch {
-    /// Where discovery is; it may move.
-    pub address: watch::Receiver<SocketAddr>,
+    /// Where discovery is and how the list arrives; both may change.
+    pub address: watch::Receiver<(SocketAddr, Discovery)>,
     /// The version of the list that is known already. Asking for the changes since costs the one service of
     /// all nodes far less than the whole list, above all where many nodes start at once.
     pub known: Option<u64>,
-    /// How the list arrives.
-    pub mode: Discovery,
     /// Names of zones.
-    pub names: Rc<Names>,
+    pub rules: Rc<Current>,
     /// The count of sockets.
     pub descriptors: Rc<Descriptors>,
     /// The decisions' wish to watch, where discovery is asked.
@@ -128,10 +127,10 @@
     /// Runs until the driver is gone.
     pub async fn run(mut self, driver: Rc<Driver>) {
         let mut address = self.address.clone();
-        let mut at = *address.borrow_and_update();
+        let (mut at, mut mode) = *address.borrow_and_update();
         let mut conn = None;
         let mut rev = self.known;
-        let mut wanted = self.mode == Discovery::Pushed;
+        let mut wanted = mode == Discovery::Pushed;
         let mut failing = false;
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
@@ -144,16 +143,16 @@
                         None => return,
                     },
                     // Whatever pace the old address had earned, the new one is asked now.
-                    new = moved(&mut address) => (at, conn, rev, wanted) = (new, None, None, true),
+                    new = moved(&mut address) => ((at, mode), conn, rev, wanted) = (new, None, None, true),
                 }
                 continue;
             }
             let begun = Instant::now();
             let result = tokio::select! {
-                result = self.call(at, &mut conn, rev) => result,
+                result = self.call(at, mode, &mut conn, rev) => result,
                 // A call to the old address may wait for long, and in vain; the new one may count anew.
                 new = moved(&mut address) => {
-                    (at, conn, rev) = (new, None, None);
+                    ((at, mode), conn, rev) = (new, None, None);
                     continue;
                 }
             };
@@ -189,12 +188,12 @@
                 Err(e) => {
                     conn = None;
                     // Calls that the decisions pace are few: each failure is told.
-                    if !failing || self.mode == Discovery::OnRequest {
+                    if !failing || mode == Discovery::OnRequest {
                         let ms = begun.elapsed().as_millis();
                         log::line(&format!("discovery: no answer after {ms} ms: {e}"));
                         failing = true;
                     }
-                    if self.mode == Discovery::OnRequest {
+                    if mode == Discovery::OnRequest {
                         // The decisions pace the calls: each costs the one service of all nodes.
                         wanted = false;
                         driver.take(Input::List(ListKind::Failed, Vec::new()));
@@ -211,10 +210,11 @@
     async fn call(
         &self,
         at: SocketAddr,
+        mode: Discovery,
         conn: &mut Option<Conn>,
         rev: Option<u64>,
     ) -> Result<Listing, Box<dyn Error>> {
-        let wait_ms = if self.mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
+        let wait_ms = if mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
         let (path, wait) = match rev {
             None => ("/discovery/hosts".to_owned(), Duration::from_millis(ASKED_WAIT_MS / 10)),
             Some(rev) => {
@@ -242,7 +242,7 @@
             return Err(format!("status {}", answer.status()).into());
         }
         let json = serde_json::from_slice(answer.body())?;
-        let listing = listing(&json, &self.names).ok_or("not a list")?;
+        let listing = listing(&json, &self.rules.get().names).ok_or("not a list")?;
         *kept = Some(conn);
         Ok(listing)
     }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -4,13 +4,14 @@
 //! open. It decides nothing itself.
 
 use crate::body::Upload;
+use crate::config::Rules;
 use crate::log;
 use crate::peers::Peers;
 use crate::state::State;
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
-    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId,
+    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId, Settings,
 };
 use birchspoke::wire::stable_hash;
 use hyper::StatusCode;
@@ -127,12 +128,14 @@
 pub enum Input {
     /// The node is up.
     Start,
+    /// New settings.
+    Settings(Box<Settings>),
     /// News of the list.
     List(ListKind, Vec<Target>),
     /// These backends, and no others, are out by the operators' word.
     Cordoned(BTreeMap<BackendId, String>),
     /// A client's request.
-    Arrived(Request, Rc<Call>, Owed),
+    Arrived(Request, Rc<Rules>, Rc<Call>, Owed),
     /// The client is gone, or needs nothing any more.
     Left(RequestId),
     /// An attempt is over.
@@ -169,7 +172,13 @@
     Message(u32, Vec<u8>),
 }
 
+fn probe_path(settings: &Settings) -> &'static str {
+    if settings.reporting == Reporting::None { "/alive" } else { "/metrics/load" }
+}
+
 struct Open {
+    /// Holds the number of the request's class.
+    _rules: Rc<Rules>,
     owed: Option<Owed>,
     call: Rc<Call>,
     /// What calls each attempt off; none where it is over.
@@ -238,7 +247,8 @@
     peers: Option<Rc<Peers>>,
     state: Rc<State>,
     watch: mpsc::UnboundedSender<bool>,
-    probe_path: &'static str,
+    probe_path: Cell<&'static str>,
+    messages: Cell<bool>,
     next: Cell<u64>,
     heard: Cell<bool>,
 }
@@ -247,7 +257,7 @@
     /// A driver that has heard nothing yet; the decisions' wish to watch the list goes out on `watch`.
     pub fn new(
         balancer: Balancer,
-        reporting: Reporting,
+        rules: &Rules,
         upstream: Rc<Upstream>,
         peers: Option<Rc<Peers>>,
         state: Rc<State>,
@@ -267,7 +277,8 @@
             peers,
             state,
             watch,
-            probe_path: if reporting == Reporting::None { "/alive" } else { "/metrics/load" },
+            probe_path: Cell::new(probe_path(&rules.settings)),
+            messages: Cell::new(rules.settings.peer_messages),
             next: Cell::new(0),
             heard: Cell::new(false),
         })
@@ -278,6 +289,7 @@
     pub fn submit(
         self: &Rc<Self>,
         mut request: Request,
+        rules: Rc<Rules>,
         call: Call,
         from: Instant,
         wait: Duration,
@@ -289,7 +301,7 @@
         request.deadline_ms = self.clock.at_ms(from + wait.saturating_sub(margin));
         let (owed, answer) = oneshot::channel();
         let upload = call.upload.clone();
-        self.take(Input::Arrived(request, Rc::new(call), Owed(owed)));
+        self.take(Input::Arrived(request, rules, Rc::new(call), Owed(owed)));
         Ticket { driver: self.clone(), id, answer, upload, from, wait }
     }
 
@@ -368,6 +380,13 @@
         if known { Ok(id) } else { Err(CordonError::Unknown(uid.to_owned())) }
     }
 
+    /// Takes new settings, for all that follows.
+    pub fn retune(self: &Rc<Self>, rules: &Rules) {
+        self.probe_path.set(probe_path(&rules.settings));
+        self.messages.set(rules.settings.peer_messages);
+        self.take(Input::Settings(Box::new(rules.settings.clone())));
+    }
+
     /// The one way in. What comes up while an event is handled waits for its end.
     pub fn take(self: &Rc<Self>, input: Input) {
         self.heard
@@ -386,6 +405,13 @@
         }
     }
 
+    /// Another node's message, where they are allowed.
+    pub fn message(self: &Rc<Self>, from: u32, bytes: Vec<u8>) {
+        if self.messages.get() {
+            self.take(Input::Message(from, bytes));
+        }
+    }
+
     fn later(&self, input: Input) {
         self.inbox.borrow_mut().push_back(input);
     }
@@ -495,7 +521,7 @@
         let driver = self.clone();
         let begun = Instant::now();
         spawn_local(async move {
-            let (finish, conn) = driver.upstream.probe(backend, address, driver.probe_path).await;
+            let (finish, conn) = driver.upstream.probe(backend, address, driver.probe_path.get()).await;
             driver.take(Input::Probed(backend, finish, begun.elapsed().as_secs_f64() * 1000.0));
             driver.keep(backend, address, conn);
         });
@@ -527,6 +553,7 @@
     fn event(&mut self, input: Input, upstream: &Upstream) -> Option<Event> {
         Some(match input {
             Input::Start => Event::Start,
+            Input::Settings(settings) => Event::Settings(settings),
             Input::List(kind, targets) => {
                 self.note_listed(kind, &targets);
                 self.list(kind, targets, upstream)
@@ -543,9 +570,10 @@
                 }
                 self.list(ListKind::Changes, moved, upstream)
             }
-            Input::Arrived(request, call, owed) => {
+            Input::Arrived(request, rules, call, owed) => {
                 let (attempts, course) = (Vec::new(), Vec::new());
                 let open = Open {
+                    _rules: rules,
                     owed: Some(owed),
                     call,
                     attempts,
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -13,7 +13,7 @@
 mod state;
 mod upstream;
 
-use crate::config::Config;
+use crate::config::{Config, Current, Reload};
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
 use crate::handover::Handover;
@@ -24,11 +24,13 @@
 use crate::state::State;
 use crate::upstream::Upstream;
 use birchspoke::Balancer;
-use birchspoke::interface::ListKind;
+use birchspoke::interface::{Discovery, ListKind};
+use serde_json::Value;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{SignalKind, signal};
@@ -55,6 +57,48 @@
     Ok(socket)
 }
 
+/// All that takes new settings.
+struct Reloading {
+    rules: Rc<Current>,
+    driver: Rc<Driver>,
+    upstream: Rc<Upstream>,
+    peers: Option<Rc<Peers>>,
+    discovery: watch::Sender<(SocketAddr, Discovery)>,
+}
+
+impl Reloading {
+    /// Reads the file again and takes all of it or nothing; hands back the file that runs from here on.
+    async fn reload(&self, running: Value) -> Value {
+        // Off this loop: a long file must not stall who is being served.
+        let running = Arc::new(running);
+        let held = running.clone();
+        let read = tokio::task::spawn_blocking(move || Reload::read(&held)).await;
+        let turned_down = match read {
+            Ok(Ok(read)) => return self.take(read),
+            Ok(Err(e)) => e.to_string(),
+            Err(e) => e.to_string(),
+        };
+        log::line(&format!("configuration not taken, the running one holds: {turned_down}"));
+        // The reader is done with it.
+        Arc::unwrap_or_clone(running)
+    }
+
+    fn take(&self, read: Reload) -> Value {
+        let Reload { file, discovery, settings, names } = read;
+        let rules = self.rules.succeed(settings, names);
+        let settings = &rules.settings;
+        self.driver.retune(&rules);
+        self.upstream.retune(settings.connect_timeout_ms, settings.conn_idle_ms);
+        if let Some(peers) = &self.peers {
+            peers.renumber(settings.slot);
+        }
+        let told = (discovery, settings.discovery);
+        self.discovery.send_if_modified(|known| std::mem::replace(known, told) != told);
+        log::line(&format!("configuration taken: discovery is {discovery}, settings: {settings:?}"));
+        file
+    }
+}
+
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -67,7 +111,8 @@
         None => None,
     };
     let state = Rc::new(State::open(config.listen));
-    let settings = config.settings.clone();
+    let rules = Current::new(config.settings, config.names);
+    let settings = rules.get().settings.clone();
     let reserved = if operators.is_some() { operator::DESCRIPTORS } else { 0 };
     let descriptors = Descriptors::new(config.sockets.saturating_sub(reserved));
     let upstream = Upstream::new(
@@ -76,45 +121,39 @@
         settings.connect_timeout_ms,
         settings.conn_idle_ms,
     );
-    let peers = match config.peer_listen.filter(|_| settings.peer_messages) {
-        Some(at) => {
-            let peers = Peers::new(at, config.peers, config.peers_all, settings.slot);
-            Some(Rc::new(peers.map_err(|e| format!("peer_listen: {at}: {e}"))?))
-        }
+    let peers = match config.peer_listen {
+        Some(at) => match Peers::new(at, config.peers, config.peers_all, settings.slot) {
+            Ok(peers) => Some(Rc::new(peers)),
+            Err(e) if settings.peer_messages => return Err(format!("peer_listen: {at}: {e}").into()),
+            Err(_) => None,
+        },
         None => None,
     };
-    let balancer = Balancer::new(config.settings, config.seed)?;
+    let balancer = Balancer::new(settings.clone(), config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver =
-        Driver::new(balancer, settings.reporting, upstream.clone(), peers.clone(), state.clone(), wish);
-    let names = Rc::new(config.names);
+    let driver = Driver::new(balancer, &rules.get(), upstream.clone(), peers.clone(), state.clone(), wish);
     driver.take(Input::Start);
-    let known = discovery::listing(&config.known, &names);
+    let known = discovery::listing(&config.known, &rules.get().names);
     let version = known.as_ref().and_then(discovery::Listing::complete);
     if let Some(known) = known {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
-    let (discovery, address) = watch::channel(config.discovery);
+    let (discovery, address) = watch::channel((config.discovery, settings.discovery));
+    let reloading = Reloading {
+        rules: rules.clone(),
+        driver: driver.clone(),
+        upstream: upstream.clone(),
+        peers: peers.clone(),
+        discovery,
+    };
     spawn_local(async move {
+        let mut running = config.file;
         while hangup.recv().await.is_some() {
-            match Config::reload_discovery() {
-                Ok(address) => {
-                    log::line(&format!("told to read the configuration again: discovery is {address}"));
-                    discovery.send_if_modified(|known| std::mem::replace(known, address) != address);
-                }
-                // Better the old address than none, and than no node.
-                Err(e) => log::line(&format!("configuration not taken: {e}")),
-            }
+            running = reloading.reload(running).await;
         }
     });
-    let watch = Watch {
-        address,
-        known: version,
-        mode: settings.discovery,
-        names: names.clone(),
-        descriptors: descriptors.clone(),
-        wishes,
-    };
+    let watch =
+        Watch { address, known: version, rules: rules.clone(), descriptors: descriptors.clone(), wishes };
     spawn_local(watch.run(driver.clone()));
     if let Some(peers) = peers.clone() {
         let driver = driver.clone();
@@ -129,16 +168,7 @@
             sweeping.sweep();
         }
     });
-    let longest = settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-    let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
-    let server = Server::new(
-        driver.clone(),
-        upstream,
-        names,
-        settings.classes.clone(),
-        settings.open_cap as usize,
-        descriptors.clone(),
-    );
+    let server = Server::new(driver.clone(), upstream, rules.clone(), descriptors.clone());
     for uid in state.cordoned().values() {
         log::line(&format!("{uid} is out by an operator's word, given before this start"));
     }
@@ -163,6 +193,8 @@
         spawn_local(async move { server.accept(listener).await })
     };
     terminate.recv().await;
+    let longest = rules.get().settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
     let end = Instant::now() + longest + LAST_ANSWERS;
     let successor = handover.stops();
     log::line(if successor {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,9 +1,9 @@
 //! Datagrams between nodes.
 
-use crate::driver::{Driver, Input};
+use crate::driver::Driver;
 use crate::log;
 use socket2::{Domain, Socket, Type};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,7 @@
     left: Notify,
     nodes: Vec<SocketAddr>,
     all: Option<SocketAddr>,
-    own: u32,
+    own: Cell<u32>,
 }
 
 impl Peers {
@@ -37,7 +37,18 @@
         socket.set_nonblocking(true)?;
         socket.bind(&listen.into())?;
         let socket = UdpSocket::from_std(socket.into())?;
-        Ok(Peers { socket: RefCell::new(Some(Rc::new(socket))), left: Notify::new(), nodes, all, own })
+        Ok(Peers {
+            socket: RefCell::new(Some(Rc::new(socket))),
+            left: Notify::new(),
+            nodes,
+            all,
+            own: Cell::new(own),
+        })
+    }
+
+    /// This node's number is another now.
+    pub fn renumber(&self, own: u32) {
+        self.own.set(own);
     }
 
     /// Leaves the address to another process of this node.
@@ -54,7 +65,7 @@
         }
         let node = |n: u32| self.nodes.get(n as usize).copied();
         let others = || {
-            let others = self.nodes.iter().zip(0_u32..).filter(|(_, n)| *n != self.own);
+            let others = self.nodes.iter().zip(0_u32..).filter(|(_, n)| *n != self.own.get());
             others.map(|(address, _)| *address).collect()
         };
         let targets: Vec<SocketAddr> = match to {
@@ -70,7 +81,7 @@
     /// Hands on what arrives, until the address is left.
     pub async fn listen(&self, driver: &Rc<Driver>) {
         while let Some((from, bytes)) = self.receive().await {
-            driver.take(Input::Message(from, bytes));
+            driver.message(from, bytes);
         }
     }
 
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,12 +1,13 @@
 //! The client side: connections, what they ask, and the answers they get.
 
 use crate::body::{Download, LONGEST_BODY, Upload, drain};
+use crate::config::{Current, Rules};
 use crate::driver::{Answer, Driver};
 use crate::log;
 use crate::socket::{Descriptors, Slot, Socket};
 use crate::upstream::{BODY_LIMIT, BUFFER, Call, EXPIRES, Reply, ReplyBody, Upstream};
-use birchspoke::interface::{Class, Effect, Request as Asked, RequestId};
-use birchspoke::wire::{Names, stable_hash};
+use birchspoke::interface::{Effect, Request as Asked, RequestId};
+use birchspoke::wire::stable_hash;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Incoming};
@@ -205,9 +206,7 @@
 pub struct Server {
     driver: Rc<Driver>,
     upstream: Rc<Upstream>,
-    names: Rc<Names>,
-    classes: Vec<Class>,
-    open_cap: usize,
+    rules: Rc<Current>,
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<Client>>>,
     next: Cell<u64>,
@@ -221,17 +220,13 @@
     pub fn new(
         driver: Rc<Driver>,
         upstream: Rc<Upstream>,
-        names: Rc<Names>,
-        classes: Vec<Class>,
-        open_cap: usize,
+        rules: Rc<Current>,
         descriptors: Rc<Descriptors>,
     ) -> Rc<Server> {
         let server = Rc::new(Server {
             driver,
             upstream,
-            names,
-            classes,
-            open_cap,
+            rules,
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
             next: Cell::new(0),
@@ -474,17 +469,21 @@
         response
     }
 
-    async fn ask(&self, busy: Busy, Reading { asked, call, arrived, wait }: Reading) -> Response<Sent> {
+    async fn ask(
+        &self,
+        busy: Busy,
+        Reading { asked, rules, call, arrived, wait }: Reading,
+    ) -> Response<Sent> {
         let upload = call.upload.clone();
         if upload.is_some() {
             busy.0.carries_long();
         }
-        let answer = if self.driver.open() >= self.open_cap {
+        let answer = if self.driver.open() >= rules.settings.open_cap as usize {
             Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }
         } else {
             let margin = MARGIN - LAST_MARGIN;
             let wait = wait.saturating_sub(LAST_MARGIN);
-            self.driver.submit(asked, call, arrived, wait, margin).answer().await
+            self.driver.submit(asked, rules, call, arrived, wait, margin).answer().await
         };
         // What is still to come of a request that is over must be read, or its client may not see the answer.
         if let Some(rest) = upload.and_then(|u| u.take_rest()) {
@@ -516,8 +515,9 @@
             let text = "X-Trace-Id is missing\n";
             return Err(turn_away(client, arrived, body, StatusCode::BAD_REQUEST, text).await);
         }
-        let class = self.names.class(header("x-qos").unwrap_or_default());
-        let known = self.classes.get(class);
+        let rules = self.rules.get();
+        let class = rules.names.class(header("x-qos").unwrap_or_default());
+        let known = rules.settings.classes.get(class);
         let keyed = head.headers.contains_key("idempotency-key");
         // The class tells how often the request may run; a method that says otherwise is a mistake, and
         // taking it for either could run something twice.
@@ -531,7 +531,8 @@
             let text = "method and Idempotency-Key do not agree with the class\n";
             return Err(turn_away(client, arrived, body, StatusCode::BAD_REQUEST, text).await);
         }
-        let shortest = || self.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
+        let shortest =
+            || rules.settings.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
         let class_wait = known.map_or_else(shortest, |c| c.deadline_ms);
         let wait = header(EXPIRES)
             .and_then(|v| v.trim().parse::<u64>().ok())
@@ -564,7 +565,7 @@
         let asked = Asked {
             id: RequestId(0),
             class,
-            tenant: header("x-customer").and_then(|t| self.names.tenant(t)),
+            tenant: header("x-customer").and_then(|t| rules.names.tenant(t)),
             key: header("x-object").map(stable_hash),
             deadline_ms: 0.0,
             effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
@@ -573,12 +574,14 @@
         let target =
             head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
         let call = Call { method: head.method, target, headers: onward(head.headers), body, upload };
-        Ok(Reading { asked, call, arrived, wait })
+        Ok(Reading { asked, rules, call, arrived, wait })
     }
 }
 
 struct Reading {
     asked: Asked,
+    /// Those that its class is from.
+    rules: Rc<Rules>,
     call: Call,
     arrived: Instant,
     wait: Duration,
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -268,6 +268,12 @@
         upstream
     }
 
+    /// Takes the settings' times, for all that follows.
+    pub fn retune(&self, connect_timeout_ms: f64, conn_idle_ms: f64) {
+        self.connect_limit.set(millis(connect_timeout_ms));
+        self.idle_limit.set(millis(conn_idle_ms * IDLE_PART));
+    }
+
     /// A place for a long transfer, where one is free or turns free within `wait`.
     pub async fn place(self: &Rc<Self>, wait: Duration) -> Option<Place> {
         let permit = tokio::time::timeout(wait, self.transfers.acquire()).await.ok()?.ok()?;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -103,15 +103,16 @@
 /// Names as one instance has heard them: numbers inside, words outside.
 #[derive(Debug)]
 pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    /// Without a name: a number that new requests are not given.
+    classes: Vec<Option<String>>,
+    tenants: Vec<Option<String>>,
     zones: Vec<String>,
     backends: HashMap<BackendId, String>,
 }
 
 impl Names {
-    fn index(list: &[String], name: &str) -> Option<usize> {
-        list.iter().position(|n| n == name)
+    fn index(list: &[Option<String>], name: &str) -> Option<usize> {
+        list.iter().position(|n| n.as_deref() == Some(name))
     }
 
     /// Place of a class in the settings; one that is not there is held to the strictest rules.
@@ -126,7 +127,7 @@
 
     /// Number of a zone; unknown ones are all the same foreign one.
     pub fn zone(&self, name: Option<&str>) -> u16 {
-        name.and_then(|z| Names::index(&self.zones, z))
+        name.and_then(|z| self.zones.iter().position(|n| n == z))
             .and_then(|z| u16::try_from(z).ok())
             .unwrap_or(u16::MAX)
     }
@@ -237,6 +238,57 @@
     }
 }
 
+/// Gives the classes and tenants of `new` settings numbers that nobody takes for others: what is the same as in
+/// `old` keeps its number, what is new or changed gets one that is not in use, and what is gone stays under its
+/// number, nameless and worth nothing more. Numbers that became nameless before are in use while `held`.
+pub fn renumber(old: (&Settings, &Names), new: (Settings, Names), held: bool) -> (Settings, Names) {
+    let (mut s, mut names) = new;
+    let gone = |class: &Class| Class { worth: 0.0, late_worth: 0.0, ..class.clone() };
+    (s.classes, names.classes) = numbered(
+        (&old.0.classes, &old.1.classes),
+        s.classes.into_iter().zip(names.classes),
+        |a, b| a == b,
+        gone,
+        held,
+    );
+    (s.tenants, names.tenants) = numbered(
+        (&old.0.tenants, &old.1.tenants),
+        s.tenants.into_iter().zip(names.tenants),
+        |_, _| true,
+        Tenant::clone,
+        held,
+    );
+    (s, names)
+}
+
+fn numbered<T>(
+    (old, old_names): (&[T], &[Option<String>]),
+    new: impl Iterator<Item = (T, Option<String>)>,
+    same: impl Fn(&T, &T) -> bool,
+    gone: impl Fn(&T) -> T,
+    held: bool,
+) -> (Vec<T>, Vec<Option<String>>) {
+    let mut places: Vec<Option<(T, Option<String>)>> = old.iter().map(|_| None).collect();
+    let mut rest = Vec::new();
+    for (item, name) in new {
+        let place = old_names.iter().position(|n| n.is_some() && *n == name);
+        match place.filter(|i| old.get(*i).is_some_and(|o| same(o, &item))) {
+            Some(i) => places[i] = Some((item, name)),
+            None => rest.push((item, name)),
+        }
+    }
+    let mut free =
+        (0..old.len()).filter(|i| !held && old_names[*i].is_none()).collect::<Vec<_>>().into_iter();
+    for item in rest {
+        match free.next() {
+            Some(i) => places[i] = Some(item),
+            None => places.push(Some(item)),
+        }
+    }
+    let nameless = |i: usize| (gone(&old[i]), None);
+    places.into_iter().enumerate().map(|(i, place)| place.unwrap_or_else(|| nameless(i))).unzip()
+}
+
 /// Reads the kind of an `update`.
 pub fn list_kind(word: &str) -> Result<ListKind, WireError> {
     Ok(match word {
@@ -406,6 +458,7 @@
     }
     let f = |path: &str, default: f64| figure(&v, path, Some(default));
     let zones: Vec<String> = list(&v, "areas")?.iter().map(name_of).collect();
+    let zone = word(&v, "zone")?;
     let by_work = word(&v, "worthBy")? == "work";
     let asked = word(&v, "membershipMode")? == "on_request";
     let s = Settings {
@@ -433,7 +486,7 @@
         },
         instances: count(&v, "instances", 1)?,
         slot: count(&v, "slotNo", 0)?,
-        zone: Names::index(&zones, word(&v, "zone")?).and_then(|z| u16::try_from(z).ok()),
+        zone: zones.iter().position(|z| z == zone).and_then(|z| u16::try_from(z).ok()),
         weights: match word(&v, "weights")? {
             "nominal" => Weights::Nominal,
             "rough" => Weights::Rough,
@@ -474,8 +527,8 @@
         tick_ms: f("tickMs", 1.0)?,
     };
     let names = Names {
-        classes: list(&v, "classes")?.iter().map(name_of).collect(),
-        tenants: list(&v, "tenants")?.iter().map(name_of).collect(),
+        classes: list(&v, "classes")?.iter().map(name_of).map(Some).collect(),
+        tenants: list(&v, "tenants")?.iter().map(name_of).map(Some).collect(),
         zones,
         backends: HashMap::new(),
     };
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -819,6 +819,42 @@
     }
 }
 
+#[test]
+fn new_settings_hold_for_what_follows_and_forget_no_backend() {
+    let mut w = World::with_backends(settings(), 1, 4);
+    w.warm_up(50, 0, 20.0);
+    // One backend is congested, and one request that is safe to repeat is out.
+    let bad = w.ask(0, Some(1));
+    let (at, key) = (w.at(bad), Some(1));
+    w.end(bad, Outcome::Reset);
+    for _ in 0..8 {
+        let id = w.ask(0, key);
+        while let Some(b) = w.at(id) {
+            w.end(id, if Some(b) == at { Outcome::Reset } else { Outcome::Done });
+        }
+    }
+    assert!(w.logs.iter().any(|l| l.starts_with("congested")));
+    let out = w.ask(0, Some(7));
+    // A class more, one tenant more, fewer attempts; what cannot be run on is not taken.
+    let mut new = w.s.clone();
+    new.classes.push(class(200.0, 500.0, Effect::Unsafe));
+    new.tenants.push(Tenant { quota_rps: 5.0 });
+    new.max_attempts = 2;
+    w.s = new.clone();
+    w.feed(Event::Settings(Box::new(new.clone())));
+    new.classes.clear();
+    w.feed(Event::Settings(Box::new(new)));
+    w.end(out, Outcome::Reset);
+    assert!(w.at(out).is_some(), "still safe to repeat");
+    w.end(out, Outcome::Reset);
+    assert_eq!(w.answer(out), Some("refused"), "two attempts are all");
+    let fresh = w.ask(5, Some(3));
+    assert!(w.at(fresh).is_some_and(|b| Some(b) != at), "the congested one is known");
+    w.end(fresh, Outcome::Reset);
+    assert_eq!(w.answer(fresh), Some("failed"));
+    w.wait(1000.0);
+}
+
 #[test]
 fn unusable_settings_are_a_typed_error() {
     let none = Settings { classes: vec![], ..settings() };
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -366,6 +366,22 @@
     child: Child,
     file: std::path::PathBuf,
     config: Value,
+    log: Arc<Mutex<String>>,
+    reader: Option<thread::JoinHandle<()>>,
+}
+
+/// Collects what a child writes to its log.
+fn read_log(child: &mut Child) -> (Arc<Mutex<String>>, Option<thread::JoinHandle<()>>) {
+    let log = Arc::new(Mutex::new(String::new()));
+    let (lines, into) = (BufReader::new(child.stderr.take().unwrap()), log.clone());
+    let reader = thread::spawn(move || {
+        for line in lines.lines().map_while(Result::ok) {
+            let mut log = into.lock().unwrap();
+            log.push_str(&line);
+            log.push('\n');
+        }
+    });
+    (log, Some(reader))
 }
 
 impl Node {
@@ -388,7 +404,7 @@
         let name = format!("applemill-test-{}-{}.json", std::process::id(), address.ip());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config.to_string()).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
             .env("LB_CONFIG", &file)
             .env("LB_DISCOVERY", discovery.to_string())
@@ -396,13 +412,14 @@
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
-        Node { address, operator, child, file, config }
+        let (log, reader) = read_log(&mut child);
+        Node { address, operator, child, file, config, log, reader }
     }
 
     /// Starts the next process of the same node, with a second address of its own.
     pub fn beside(&self, command: &str) -> Node {
         let operator = free_address();
-        let child = Command::new("/bin/sh")
+        let mut child = Command::new("/bin/sh")
             .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
             .env("LB_CONFIG", &self.file)
             .env("LB_OPERATOR", operator.to_string())
@@ -411,7 +428,8 @@
             .spawn()
             .unwrap();
         let (file, config) = (self.file.clone(), self.config.clone());
-        Node { address: self.address, operator, child, file, config }
+        let (log, reader) = read_log(&mut child);
+        Node { address: self.address, operator, child, file, config, log, reader }
     }
 
     /// Ends it with no time for anything.
@@ -483,9 +501,35 @@
 
     /// What it wrote; it must have ended.
     pub fn log(&mut self) -> String {
-        let mut text = String::new();
-        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
-        text
+        drop(self.reader.take().map(thread::JoinHandle::join));
+        self.log.lock().unwrap().clone()
+    }
+
+    /// Lines so far that hold `text`.
+    pub fn logged(&self, text: &str) -> usize {
+        self.log.lock().unwrap().lines().filter(|l| l.contains(text)).count()
+    }
+
+    /// The configuration that it was last given.
+    pub fn config(&self) -> Value {
+        self.config.clone()
+    }
+
+    /// Puts this in the configuration file's place, says so, and waits until it is taken or turned down.
+    pub fn replace(&mut self, text: &str, taken: bool) {
+        let line = if taken { "configuration taken" } else { "configuration not taken" };
+        let before = self.logged(line);
+        std::fs::write(&self.file, text).unwrap();
+        self.signal("-HUP");
+        wait_for(line, || self.logged(line) > before);
+    }
+
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    pub fn write_config(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
     }
 }
 
