Let a new process go on from what the old one learned

The module hands out its memory and takes one by an event; state.rs keeps it, handover.rs leaves it while a newer process starts and reads it as that one begins to serve.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,8 +5,8 @@
 //! send passes through `Balancer::may_send`, every refusal through `Balancer::answer`.
 
 use crate::interface::{
-    Action, BackendId, Class, Discovery, Effect, Entry, Event, Group, Health, ListKind, Load, Outcome,
-    Reporting, Request, RequestId, Settings, SettingsError,
+    Action, BackendId, Class, Discovery, Effect, Ended, Entry, Event, Group, Health, Known, ListKind, Load,
+    Memory, Outcome, Reporting, Request, RequestId, Settings, SettingsError,
 };
 use crate::news::News;
 use crate::tally::{Stop, Tally};
@@ -109,7 +109,7 @@
 }
 
 /// One backend as this node knows it.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Backend {
     id: BackendId,
     zone: u16,
@@ -386,8 +386,7 @@
         Ok(balancer)
     }
 
-    /// Takes settings on, first or new ones. A class whose number stood for another is learned anew; requests
-    /// that are open under a number find what it stood for, as the host gives none away that is held.
+    /// Takes settings on, first or new ones. A class whose number stood for another is learned anew.
     fn take_on(&mut self, s: Settings) {
         let same = |i: usize| self.s.classes.get(i) == s.classes.get(i);
         let learned = |i| self.learned.get(i).filter(|_| same(i)).cloned().unwrap_or_default();
@@ -401,6 +400,31 @@
         self.s = s;
     }
 
+    /// What the next process of this node can go on from.
+    pub fn memory(&self) -> Memory {
+        let known = |b: &Backend| {
+            let prat = b.record.congested.then_some(b.record.prat);
+            Known { backend: b.id, limit: b.cap.limit, cut_at: b.cap.cut_at, prat }
+        };
+        let times = |l: &Learned| if l.seen < 20 { [0.0; 4] } else { [l.mean, l.spread, l.high, l.usual] };
+        let classes = self.learned.iter().map(times).collect();
+        Memory { warm_rate: self.warm_rate, backends: self.backends.iter().map(known).collect(), classes }
+    }
+
+    fn go_on_from(&mut self, memory: &Memory) {
+        self.warm_rate = self.warm_rate.max(memory.warm_rate);
+        for k in &memory.backends {
+            let Some(i) = self.find(k.backend) else { continue };
+            let b = &mut self.backends[i];
+            b.cap = Cap { limit: k.limit, cut_at: k.cut_at, ..Cap::default() };
+            (b.record.congested, b.record.prat) = (k.prat.is_some(), k.prat.unwrap_or(0.0));
+        }
+        for (l, times) in self.learned.iter_mut().zip(&memory.classes).filter(|(_, t)| t[0] > 0.0) {
+            [l.mean, l.spread, l.high, l.usual] = *times;
+            l.seen = 20;
+        }
+    }
+
     /// Takes one event at the time `now` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -415,9 +439,8 @@
             }
             Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
             Event::Request(r) => self.on_request(now, r, out),
-            Event::Ended { id, attempt, outcome, last, elapsed_ms, load, .. } => {
-                self.on_ended(now, id, attempt, outcome, last, elapsed_ms, &load, out);
-            }
+            Event::Ended(e) => self.on_ended(now, &e, out),
+            Event::Memory(memory) => self.go_on_from(&memory),
             Event::Left(id) => self.on_left(id, out),
             Event::Timer(TICK) => self.on_tick(now, out),
             Event::Timer(ASK) => out.push(Action::Watch(true)),
@@ -508,17 +531,10 @@
                 Err(i) => {
                     let fresh = Backend {
                         id: e.backend,
-                        zone: e.zone,
-                        cell: e.cell,
-                        units: 1.0,
-                        up: false,
-                        close_until: 0.0,
-                        in_flight: 0,
                         cold_since: ready,
                         cold_tokens: self.rng.f64(),
-                        record: Record::default(),
-                        load: Pressure::default(),
                         cap: Cap { limit: first_cap(self.s.instances), ..Cap::default() },
+                        ..Backend::default()
                     };
                     self.backends.insert(i, fresh);
                     i
@@ -1000,27 +1016,17 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn on_ended(
-        &mut self,
-        now: f64,
-        id: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        last: bool,
-        elapsed: f64,
-        load: &Load,
-        out: &mut Vec<Action>,
-    ) {
+    fn on_ended(&mut self, now: f64, e: &Ended, out: &mut Vec<Action>) {
+        let (id, outcome) = (e.id, e.outcome);
         let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(a) = open.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
+        let Some(a) = open.attempts.get_mut(e.attempt as usize).filter(|a| a.out) else { return };
         // A time that is no number must not spoil what is learned.
-        let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { (now - a.sent).max(0.0) };
+        let elapsed = if e.elapsed_ms.is_finite() { e.elapsed_ms } else { now - a.sent }.max(0.0);
         a.out = false;
         self.in_flight = self.in_flight.saturating_sub(1);
         a.never_ran = never_ran(&self.s, outcome);
         self.tally.end(outcome);
-        open.finished |= last;
+        open.finished |= e.last;
         let (backend, timeout, trial, class) = (a.backend, a.timeout, a.trial, open.request.class);
         let in_aim = outcome == Outcome::Done && now <= open.aim_at;
         let worth = open.worth;
@@ -1032,7 +1038,7 @@
             // A backend that fails or refuses fast looks idle: its failures count as full pressure, but only
             // where answers bring reports, which alone lower it again.
             let heard = match outcome {
-                Outcome::Done => self.reported(class, load),
+                Outcome::Done => self.reported(class, &e.load),
                 Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected => None,
                 _ => Some(1.0).filter(|_| self.s.reporting == Reporting::Answers),
             };
@@ -1044,20 +1050,17 @@
                 // Any answer at all shows that it can be reached; called off says nothing.
                 match outcome {
                     Outcome::Cancelled | Outcome::Skipped => self.backends[i].record.trial_out = false,
-                    o => {
-                        let silent =
-                            matches!(o, Outcome::TimedOut | Outcome::NotConnected | Outcome::Reset);
-                        self.trial_over(now, i, if silent { News::TrialFailed } else { News::Live }, out);
+                    Outcome::TimedOut | Outcome::NotConnected | Outcome::Reset => {
+                        self.trial_over(now, i, News::TrialFailed, out);
                     }
+                    _ => self.trial_over(now, i, News::Live, out),
                 }
             } else if !own_stall {
                 self.learn(now, i, class, (outcome, in_aim, elapsed), worth, out);
             }
         }
-        if outcome == Outcome::Done
-            && let Some(l) = self.learned.get_mut(class)
-        {
-            l.served += if in_aim { 1.0 } else { 0.0 };
+        if in_aim && let Some(l) = self.learned.get_mut(class) {
+            l.served += 1.0;
         }
         let Some(open) = self.open.get(&id) else { return };
         if open.attempts.iter().any(|a| a.out) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 /// Identity of a backend: any number that is the same at every node, such as a hash of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BackendId(pub u64);
 
 impl BackendId {
@@ -380,6 +380,50 @@
     pub retry: bool,
 }
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ended {
+    /// The request.
+    pub id: RequestId,
+    /// Which attempt.
+    pub attempt: u32,
+    /// At which backend.
+    pub backend: BackendId,
+    /// How.
+    pub outcome: Outcome,
+    /// The request is finished, by this or before.
+    pub last: bool,
+    /// Time since the send.
+    pub elapsed_ms: f64,
+    /// The backend's report of its load, as far as it gave one.
+    pub load: Load,
+}
+
+/// What a balancer has learned that the next process of its node can go on from.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Memory {
+    /// Requests a second that a warm backend serves for this node.
+    pub warm_rate: f64,
+    /// What is known of backends.
+    pub backends: Vec<Known>,
+    /// Usual times by class: the mean, its deviation, what four of five stay below, and that in easy times; all
+    /// 0 where little is known.
+    pub classes: Vec<[f64; 4]>,
+}
+
+/// What is known of one backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Known {
+    /// Which.
+    pub backend: BackendId,
+    /// Requests that it may have in flight.
+    pub limit: f64,
+    /// When strain last showed there; 0 for never.
+    pub cut_at: f64,
+    /// When it may be tried again, where it is congested.
+    pub prat: Option<f64>,
+}
+
 /// What a node learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -409,22 +453,9 @@
         elapsed_ms: f64,
     },
     /// An attempt is over.
-    Ended {
-        /// The request.
-        id: RequestId,
-        /// Which attempt.
-        attempt: u32,
-        /// At which backend.
-        backend: BackendId,
-        /// How.
-        outcome: Outcome,
-        /// The request is finished, by this or before.
-        last: bool,
-        /// Time since the send.
-        elapsed_ms: f64,
-        /// The backend's report of its load, as far as it gave one.
-        load: Load,
-    },
+    Ended(Ended),
+    /// What another process of the same node has learned, for a balancer that has only its first list.
+    Memory(Box<Memory>),
     /// The client is gone; nothing is owed.
     Left(RequestId),
     /// A timer set by [`Action::Timer`].
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,9 @@
 //!
 //! ```
 //! use birchspoke::Balancer;
-//! use birchspoke::interface::{Action, BackendId, Entry, Event, Health, ListKind, Outcome, Request, RequestId};
+//! use birchspoke::interface::{
+//!     Action, BackendId, Ended, Entry, Event, Health, ListKind, Outcome, Request, RequestId,
+//! };
 //!
 //! // Settings can be built by hand; the codec reads them from JSON and fills in defaults.
 //! let text = r#"{"classes": [{"name": "page", "semantics": "idempotent", "objectiveMs": 300, "hardLimitMs": 900}],
@@ -32,9 +34,9 @@
 //!
 //! // The answer reaches the client by itself: nothing is left to do.
 //! actions.clear();
-//! balancer.handle(60.0, Event::Ended {
+//! balancer.handle(60.0, Event::Ended(Ended {
 //!     id, attempt: 0, backend, outcome: Outcome::Done, last: true, elapsed_ms: 50.0, load: Default::default(),
-//! }, &mut actions);
+//! }), &mut actions);
 //! assert!(actions.is_empty());
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -11,7 +11,8 @@
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use birchspoke::Balancer;
 use birchspoke::interface::{
-    Action, BackendId, Entry, Event, Health, ListKind, Outcome, Reporting, Request, RequestId, Settings,
+    Action, BackendId, Ended, Entry, Event, Health, ListKind, Memory, Outcome, Reporting, Request,
+    RequestId, Settings,
 };
 use birchspoke::wire::stable_hash;
 use hyper::StatusCode;
@@ -130,6 +131,8 @@
     Start,
     /// New settings.
     Settings(Box<Settings>),
+    /// What the process before this one has learned.
+    Memory(Box<Memory>),
     /// News of the list.
     List(ListKind, Vec<Target>),
     /// These backends, and no others, are out by the operators' word.
@@ -353,6 +356,16 @@
         }
     }
 
+    /// What was learned here.
+    pub fn memory(&self) -> Memory {
+        self.core.borrow().balancer.memory()
+    }
+
+    /// Goes on from what another process has learned.
+    pub fn remember(self: &Rc<Self>, memory: Memory) {
+        self.take(Input::Memory(Box::new(memory)));
+    }
+
     /// Takes a backend out: from here on it counts as draining, whatever is listed.
     pub fn cordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
         let id = self.known(uid)?;
@@ -554,6 +567,7 @@
         Some(match input {
             Input::Start => Event::Start,
             Input::Settings(settings) => Event::Settings(settings),
+            Input::Memory(memory) => Event::Memory(memory),
             Input::List(kind, targets) => {
                 self.note_listed(kind, &targets);
                 self.list(kind, targets, upstream)
@@ -604,7 +618,7 @@
                 if open.over() {
                     self.open.remove(&id);
                 }
-                Event::Ended { id, attempt, backend, outcome, last, elapsed_ms, load }
+                Event::Ended(Ended { id, attempt, backend, outcome, last, elapsed_ms, load })
             }
             Input::Started { id, attempt, backend, reply, elapsed_ms } => {
                 let open = self.open.get_mut(&id)?;
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,6 +1,7 @@
 //! Two processes of one node, while one takes over from the other: who lives, and which part of the node's
 //! descriptors each may use.
 
+use crate::config::Current;
 use crate::driver::Driver;
 use crate::log;
 use crate::socket::Descriptors;
@@ -59,6 +60,7 @@
     state: Rc<State>,
     driver: Rc<Driver>,
     descriptors: Rc<Descriptors>,
+    rules: Rc<Current>,
     pool: Pool,
     stage: Cell<Stage>,
     told: Cell<Option<Record>>,
@@ -71,12 +73,14 @@
         state: Rc<State>,
         driver: Rc<Driver>,
         descriptors: Rc<Descriptors>,
+        rules: Rc<Current>,
         fixed: usize,
     ) -> Rc<Handover> {
         let pool = Pool { alone: descriptors.limit(), fixed };
         let stage = Cell::new(Stage::Starting);
         let others = RefCell::default();
-        let handover = Handover { state, driver, descriptors, pool, stage, told: Cell::new(None), others };
+        let handover =
+            Handover { state, driver, descriptors, rules, pool, stage, told: Cell::new(None), others };
         handover.look();
         Rc::new(handover)
     }
@@ -109,9 +113,15 @@
         }
     }
 
-    /// This process takes clients.
+    /// This process takes clients, and goes on from what the one beside it has learned.
     pub fn serves(&self) {
         self.stage.set(Stage::Serving);
+        if !self.others.borrow().is_empty()
+            && let Some(memory) = self.state.left(&self.rules.get().names)
+        {
+            log::line(&format!("upgrade: knows {} backends from before", memory.backends.len()));
+            self.driver.remember(memory);
+        }
         self.look();
     }
 
@@ -153,6 +163,10 @@
             };
             log::line(&format!("upgrade: this is {role}; {limit} descriptors, {used} in use"));
         }
+        let starting = self.others.borrow().iter().any(|o| o.stage == Stage::Starting);
+        if role == Role::Older && starting && self.stage.get() == Stage::Serving {
+            self.state.leave(&self.driver.memory(), &self.rules.get().names);
+        }
         // A call may have reached the other process.
         if before + now > 0 && self.state.lasts() {
             self.driver.cordoned(self.state.cordoned());
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -177,7 +177,7 @@
         let operator = Operator { driver: driver.clone(), server: server.clone(), descriptors };
         spawn_local(Rc::new(operator).listen(listener));
     }
-    let handover = Handover::new(state, driver.clone(), descriptors, UNCOUNTED + reserved);
+    let handover = Handover::new(state, driver.clone(), descriptors, rules.clone(), UNCOUNTED + reserved);
     spawn_local(handover.clone().run());
     tokio::select! {
         () = handover.may_serve() => {}
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -3,8 +3,8 @@
 //! Each file is written whole and renamed into place. One that is absent, torn or strange counts as none.
 
 use crate::log;
-use birchspoke::interface::BackendId;
-use birchspoke::wire::stable_hash;
+use birchspoke::interface::{BackendId, Known, Memory};
+use birchspoke::wire::{Names, stable_hash};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs::{self, File, TryLockError};
@@ -20,8 +20,11 @@
 const RECORD: &str = "process-";
 /// Of files that are not whole yet.
 const DRAFT: &str = "draft-";
+/// What the process that serves has learned, for the next one.
+const MEMORY: &str = "memory";
 /// A longer file is none of ours.
 const LONGEST: u64 = 4096;
+const LONGEST_MEMORY: u64 = 1024 * 1024;
 
 /// How far a process of this node is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,6 +151,29 @@
         self.dir.is_some()
     }
 
+    /// Leaves what was learned to the next process. Without it that one starts from nothing.
+    pub fn leave(&self, memory: &Memory, names: &Names) {
+        let Some(dir) = &self.dir else { return };
+        let backends: Vec<Value> =
+            (memory.backends.iter()).map(|k| json!([k.backend.0, k.limit, k.cut_at, k.prat])).collect();
+        let classes: BTreeMap<&str, [f64; 4]> = (memory.classes.iter().enumerate())
+            .filter_map(|(n, times)| Some((names.class_name(n)?, *times)))
+            .collect();
+        let text = json!({"warm_rate": memory.warm_rate, "backends": backends, "classes": classes});
+        if let Err(e) = write_whole(dir, MEMORY, text.to_string().as_bytes()) {
+            log::line(&format!("TMPDIR: {e}"));
+        }
+    }
+
+    /// What another process left, where it can be read whole; it is of use once.
+    pub fn left(&self, names: &Names) -> Option<Memory> {
+        let path = self.dir.as_ref()?.join(MEMORY);
+        let short = fs::metadata(&path).is_ok_and(|m| m.is_file() && m.len() <= LONGEST_MEMORY);
+        let text = short.then(|| fs::read_to_string(&path).ok()).flatten();
+        let _ = fs::remove_file(&path);
+        read_memory(&serde_json::from_str(&text?).ok()?, names)
+    }
+
     /// The backends that are out, by the files.
     pub fn cordoned(&self) -> BTreeMap<BackendId, String> {
         let Some(dir) = &self.dir else { return BTreeMap::new() };
@@ -180,6 +206,28 @@
     }
 }
 
+fn read_memory(json: &Value, names: &Names) -> Option<Memory> {
+    let figure = |v: &Value| v.as_f64().filter(|f| *f >= 0.0);
+    let mut backends = Vec::new();
+    for entry in json.get("backends")?.as_array()? {
+        let [id, limit, cut_at, prat] = entry.as_array()?.as_slice() else { return None };
+        let limit = figure(limit).filter(|l| *l > 0.0)?;
+        let prat = if prat.is_null() { None } else { Some(figure(prat)?) };
+        backends.push(Known { backend: BackendId(id.as_u64()?), limit, cut_at: figure(cut_at)?, prat });
+    }
+    let mut classes = Vec::new();
+    for (name, entry) in json.get("classes")?.as_object()? {
+        let times: Vec<f64> = entry.as_array()?.iter().map(figure).collect::<Option<_>>()?;
+        let times = <[f64; 4]>::try_from(times).ok()?;
+        let number = names.class(name);
+        if number != usize::MAX {
+            classes.resize(classes.len().max(number + 1), [0.0; 4]);
+            classes[number] = times;
+        }
+    }
+    Some(Memory { warm_rate: figure(json.get("warm_rate")?)?, backends, classes })
+}
+
 fn id(uid: &str) -> BackendId {
     BackendId(stable_hash(uid))
 }
@@ -289,6 +337,55 @@
         let _ = fs::remove_dir_all(tmp);
     }
 
+    fn names() -> Names {
+        let text = r#"{"classes": [{"name": "a", "hardLimitMs": 1}, {"name": "b", "hardLimitMs": 1}],
+                       "rules": {"coldMs": 1, "startCapacity": 1, "fallMultiple": 1, "fallMs": 1}}"#;
+        birchspoke::wire::settings(text).unwrap().1
+    }
+
+    #[test]
+    fn what_was_learned_is_read_as_it_was_left_and_once() {
+        let tmp = scratch("memory");
+        let state = State::open_in(&tmp, ([127, 0, 0, 1], 80).into(), 1);
+        let known = |n: u64, prat| Known { backend: BackendId(n), limit: 0.5, cut_at: 17.25, prat };
+        let memory = Memory {
+            warm_rate: 12.5,
+            backends: vec![known(u64::MAX, None), known(3, Some(1e12))],
+            classes: vec![[0.0; 4], [1.0, 2.0, 3.0, 4.5]],
+        };
+        state.leave(&memory, &names());
+        assert_eq!(state.left(&names()), Some(memory));
+        assert_eq!(state.left(&names()), None);
+        let _ = fs::remove_dir_all(tmp);
+    }
+
+    #[test]
+    fn a_torn_or_strange_memory_is_none() {
+        let tmp = scratch("torn-memory");
+        let state = State::open_in(&tmp, ([127, 0, 0, 1], 80).into(), 1);
+        let path = state.dir.clone().unwrap().join(MEMORY);
+        let whole = r#"{"warm_rate":1,"backends":[[1,1,0,null]],"classes":{"gone":[1,1,1,1]}}"#;
+        fs::write(&path, whole).unwrap();
+        assert!(state.left(&names()).is_some_and(|m| m.classes.is_empty() && m.backends.len() == 1));
+        let strange = [
+            "",
+            "[]",
+            &whole[..40],
+            r#"{"warm_rate":-1,"backends":[],"classes":{}}"#,
+            r#"{"warm_rate":1,"backends":[[1,0,0,null]],"classes":{}}"#,
+            r#"{"warm_rate":1,"backends":[[1,"x",0,null]],"classes":{}}"#,
+            r#"{"warm_rate":1,"backends":[[1]],"classes":{}}"#,
+            r#"{"warm_rate":1,"backends":[],"classes":{"a":[1,2,3]}}"#,
+        ];
+        for text in strange {
+            fs::write(&path, text).unwrap();
+            assert_eq!(state.left(&names()), None, "{text}");
+        }
+        fs::write(&path, vec![b' '; 2 << 20]).unwrap();
+        assert_eq!(state.left(&names()), None);
+        let _ = fs::remove_dir_all(tmp);
+    }
+
     #[test]
     fn without_a_place_nothing_lasts_and_nothing_fails() {
         let state = State::open_in(Path::new("/proc/no-such-place"), ([127, 0, 0, 1], 80).into(), 1);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,7 +1,7 @@
 //! The codec between the bench's text wire and [`crate::interface`]. No decisions.
 
 use crate::interface::{
-    Action, BackendId, Class, Discovery, Effect, Entry, Event, Goal, Group, Health, ListKind, Load,
+    Action, BackendId, Class, Discovery, Effect, Ended, Entry, Event, Goal, Group, Health, ListKind, Load,
     Outcome, Prices, Reporting, Request, RequestId, Settings, Tenant, Weights,
 };
 use serde_json::Value;
@@ -120,6 +120,11 @@
         Names::index(&self.classes, name).unwrap_or(usize::MAX)
     }
 
+    /// Name of a class; none for a number that new requests are not given.
+    pub fn class_name(&self, number: usize) -> Option<&str> {
+        self.classes.get(number)?.as_deref()
+    }
+
     /// Place of a tenant in the settings.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         Names::index(&self.tenants, name)
@@ -174,7 +179,7 @@
                 effort_ms: line.opt_time("effortMs")?,
                 retry: line.flag("isRetry"),
             }),
-            "result" => Event::Ended {
+            "result" => Event::Ended(Ended {
                 id: id()?,
                 attempt: attempt()?,
                 backend: self.backend(line.need("backend")?),
@@ -182,7 +187,7 @@
                 last: line.flag("last"),
                 elapsed_ms: line.opt_time("elapsedMs")?.unwrap_or(0.0),
                 load: load(line)?,
-            },
+            }),
             "begun" => Event::Started {
                 id: id()?,
                 attempt: attempt()?,
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -446,7 +446,7 @@
         w.asked.get_mut(&id).expect("asked").answer = Some("done");
         let elapsed_ms = [f64::NAN, f64::INFINITY, -5.0][n as usize % 3];
         let outcome = Outcome::Done;
-        w.feed(Event::Ended {
+        w.feed(Event::Ended(Ended {
             id,
             attempt: 0,
             backend,
@@ -454,7 +454,7 @@
             last: true,
             elapsed_ms,
             load: Default::default(),
-        });
+        }));
     }
     w.now += 60_000.0;
     w.wait(1000.0);
@@ -855,6 +855,54 @@
     w.wait(1000.0);
 }
 
+#[test]
+fn the_next_process_goes_on_from_what_was_learned() {
+    let s = Settings { classes: vec![class(400.0, 1000.0, Effect::Safe)], ..settings() };
+    let mut old = World::with_backends(s.clone(), 1, 4);
+    old.warm_up(200, 0, 20.0);
+    let first = old.ask(0, Some(1));
+    let bad = old.at(first);
+    old.end(first, Outcome::Reset);
+    while !old.logs.iter().any(|l| l.starts_with("congested")) {
+        let id = old.ask(0, Some(1));
+        while let Some(at) = old.at(id) {
+            old.end(id, if Some(at) == bad { Outcome::Reset } else { Outcome::Done });
+        }
+    }
+    let out = old.balancer.memory();
+    let congested = out.backends.iter().find(|k| k.prat.is_some()).map(|k| k.backend);
+    assert!(out.warm_rate > 0.0 && congested.is_some(), "{out:?}");
+    // A release is under way: all are cold.
+    let next = |memory: Option<Memory>| {
+        let mut w = World::new(s.clone(), 2);
+        w.now = old.now;
+        let entries = (1..=4).map(up).map(|e| Entry { ready_at_ms: old.now - 1000.0, ..e });
+        w.list(ListKind::Full, entries.collect());
+        let told = memory.is_some();
+        if let Some(memory) = memory {
+            w.feed(Event::Memory(Box::new(memory)));
+        }
+        let mut served = 0;
+        for n in 0..150 {
+            let id = w.ask(0, Some(n));
+            assert!(!told || w.at(id).is_none() || w.at(id) != congested, "it is congested");
+            w.wait(20.0);
+            while w.at(id).is_some() {
+                w.end(id, Outcome::Done);
+            }
+            served += usize::from(w.answer(id) == Some("done"));
+        }
+        served
+    };
+    let (with, without) = (next(Some(out.clone())), next(None));
+    assert!(with > 5 + 2 * without, "{with} served, and {without} without");
+    // Backends that are not listed any more, and classes that are not there, do no harm.
+    let mut strange = out.clone();
+    strange.backends.push(Known { backend: BackendId(7), limit: 1.0, cut_at: 0.0, prat: None });
+    strange.classes.extend([[1.0; 4]; 5]);
+    assert_eq!(next(Some(strange)), with);
+}
+
 #[test]
 fn unusable_settings_are_a_typed_error() {
     let none = Settings { classes: vec![], ..settings() };
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -87,7 +87,9 @@
     let mut n = names();
     let Ok(Event::Request(r)) = read(&mut n, LINES[0]) else { panic!("a request") };
     assert_eq!((r.id, r.class, r.tenant, r.deadline_ms, r.retry), (RequestId(41), 0, Some(0), 99.5, true));
-    let Ok(Event::Ended { outcome, last, load, .. }) = read(&mut n, LINES[1]) else { panic!("an outcome") };
+    let Ok(Event::Ended(Ended { outcome, last, load, .. })) = read(&mut n, LINES[1]) else {
+        panic!("an outcome")
+    };
     assert_eq!((outcome, last), (Outcome::Done, true));
     assert_eq!(load, Load { busy: Some(0.5), queue: Some(2.0), ..Load::default() });
     let Ok(Event::Probed { load, .. }) = read(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -292,7 +292,7 @@
         if let Some(since) = self.draining.get_mut(&backend) {
             *since = now;
         }
-        self.feed(Event::Ended { id, attempt: n as u32, backend, outcome, last, elapsed_ms, load });
+        self.feed(Event::Ended(Ended { id, attempt: n as u32, backend, outcome, last, elapsed_ms, load }));
     }
 
     /// Plays a long answer whose first bytes come after `first` and its last ones after `rest` more.
@@ -313,7 +313,7 @@
             asked.answer = Some("done");
         }
         let (outcome, load) = (Outcome::Done, Load::default());
-        self.feed(Event::Ended {
+        self.feed(Event::Ended(Ended {
             id,
             attempt: n as u32,
             backend,
@@ -321,7 +321,7 @@
             last: true,
             elapsed_ms: first,
             load,
-        });
+        }));
     }
 
     pub fn left(&mut self, id: RequestId) {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -100,7 +100,7 @@
                     elapsed_ms: 1.0,
                     load: Load::default(),
                 });
-                w.feed(Event::Ended {
+                w.feed(Event::Ended(Ended {
                     id: RequestId(n | 1 << 40),
                     attempt: 0,
                     backend: BackendId(*n),
@@ -108,7 +108,7 @@
                     last: false,
                     elapsed_ms: f64::NAN,
                     load: Load::default(),
-                });
+                }));
             }
         }
     }
