--- a/src/balance.rs
+++ b/src/balance.rs
@@ -303,6 +303,8 @@
     sent: f64,
     timeout: f64,
     out: bool,
+    /// Its answer is being passed on.
+    begun: bool,
     never_ran: bool,
     trial: bool,
 }
@@ -333,7 +335,7 @@
     tally: Tally,
     /// Share of recent attempts, over all backends, that failed to connect or answer.
     fleet_failing: f64,
-    /// Attempts that are out.
+    /// Attempts that are out and not answered yet.
     in_flight: u32,
     /// Mean pressure that answers report, over all backends.
     pressure: f64,
@@ -451,10 +453,13 @@
                 }
             }
             Event::Message { bytes, .. } => self.on_news(now, &bytes, out),
-            Event::Started { id, elapsed_ms, .. } => {
-                if let Some(o) = self.open.get_mut(&id) {
-                    // The first bytes are what is timed; the last may come when they will.
-                    o.aim_at = if elapsed_ms <= o.aim_at - o.arrived { f64::INFINITY } else { now };
+            Event::Started { id, attempt, elapsed_ms, .. } => {
+                let Some(o) = self.open.get_mut(&id) else { return };
+                // The first bytes are what is timed; the last may come when they will, and crowd nobody out.
+                o.aim_at = if elapsed_ms <= o.aim_at - o.arrived { f64::INFINITY } else { now };
+                if let Some(a) = o.attempts.get_mut(attempt as usize).filter(|a| a.out && !a.begun) {
+                    a.begun = true;
+                    self.in_flight = self.in_flight.saturating_sub(1);
                 }
             }
             Event::Settings(s) if s.check().is_ok() => self.take_on(*s),
@@ -526,20 +531,18 @@
         for e in entries {
             let known = e.ready_at_ms.is_finite() && e.ready_at_ms > 0.0;
             let ready = if known { e.ready_at_ms } else { f64::NEG_INFINITY };
-            let index = match self.backends.binary_search_by_key(&e.backend, |b| b.id) {
-                Ok(i) => i,
-                Err(i) => {
-                    let fresh = Backend {
-                        id: e.backend,
-                        cold_since: ready,
-                        cold_tokens: self.rng.f64(),
-                        cap: Cap { limit: first_cap(self.s.instances), ..Cap::default() },
-                        ..Backend::default()
-                    };
-                    self.backends.insert(i, fresh);
-                    i
-                }
-            };
+            let index = self.find(e.backend).unwrap_or_else(|| {
+                let fresh = Backend {
+                    id: e.backend,
+                    cold_since: ready,
+                    cold_tokens: self.rng.f64(),
+                    cap: Cap { limit: first_cap(self.s.instances), ..Cap::default() },
+                    ..Backend::default()
+                };
+                let i = self.backends.partition_point(|b| b.id < e.backend);
+                self.backends.insert(i, fresh);
+                i
+            });
             let b = &mut self.backends[index];
             if ready > b.cold_since {
                 // A new start: what the old process did says nothing of this one.
@@ -591,7 +594,6 @@
         self.ticked = now;
         out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
         let cold = |b: &Backend| now - b.cold_since < self.s.cold_ms;
-        let any_cold = self.backends.iter().any(|b| b.up && cold(b));
         // What a warm backend can serve for this node is the yardstick of the cold budget. What it serves
         // now may be less, where little is asked or where time-outs are all that a crowd leaves of it: the
         // most that was seen counts, and fades within a cold time.
@@ -604,12 +606,10 @@
         self.warm_rate =
             (self.warm_rate * (-seconds * 1000.0 / self.s.cold_ms.max(1.0)).exp()).max(self.warm_now);
         self.warm_count = 0.0;
-        if any_cold {
-            for i in 0..self.backends.len() {
-                let rate = self.cold_rate(now, i);
-                let b = &mut self.backends[i];
-                b.cold_tokens = (b.cold_tokens + rate * seconds).min(1.0);
-            }
+        for i in 0..self.backends.len() {
+            let rate = self.cold_rate(now, i);
+            let b = &mut self.backends[i];
+            b.cold_tokens = (b.cold_tokens + rate * seconds).min(1.0);
         }
         self.keys.fade(seconds);
         self.place(now);
@@ -812,7 +812,8 @@
     /// Neither congested, nor capped, nor out of cold budget, nor tried before by this request.
     fn usable(&self, now: f64, open: &Open, index: usize) -> bool {
         let b = &self.backends[index];
-        let trial = || !self.s.probes && b.record.trial_due(now) && self.repeats(open.request.class);
+        let trial =
+            || !self.s.probes && b.record.trial_due(now) && repeats(self.s.classes.get(open.request.class));
         (!b.record.congested || trial())
             && !b.cap.blocks(now, b.in_flight)
             && !open.attempts.iter().any(|a| a.backend == b.id)
@@ -884,9 +885,8 @@
             let room = (room + 3.0 * room.sqrt()).max(1.0) * self.admission.part[request.class][o];
             let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
             self.admission.crowded |= crowded;
-            let stops = [(Stop::Level, !let_in), (Stop::Room, crowded)];
-            if let Some((by, _)) = stops.into_iter().find(|(_, stops)| *stops) {
-                self.tally.stop(by);
+            if crowded || !let_in {
+                self.tally.stop(if let_in { Stop::Room } else { Stop::Level });
                 let_in = false;
             }
         }
@@ -918,11 +918,6 @@
         own > 0.0 && self.admission.tenants[i] > own && self.rng.f64() > own / self.admission.tenants[i]
     }
 
-    /// A second try of this class may do no harm; a class nobody knows is held to be unsafe.
-    fn repeats(&self, class: usize) -> bool {
-        self.s.classes.get(class).is_some_and(|c| c.effect != Effect::Unsafe)
-    }
-
     /// Sends an attempt, or answers when there is nowhere to send it.
     fn attempt(&mut self, now: f64, id: RequestId, out: &mut Vec<Action>) {
         let Some(index) = self.pick(now, id) else {
@@ -935,17 +930,16 @@
             self.answer(now, id, out);
             return;
         };
-        let Some(class) = self.open.get(&id).map(|o| o.request.class) else { return };
-        let repeats = self.repeats(class);
         let Some(open) = self.open.get_mut(&id) else { return };
-        let late = self.s.classes.get(open.request.class).is_some_and(|c| c.late_worth > 0.0);
+        let class = self.s.classes.get(open.request.class);
+        let late = class.is_some_and(|c| c.late_worth > 0.0);
         let end = if late && self.admission.level > 0.95 { open.request.deadline_ms } else { open.aim_at };
         let mut timeout = end.min(open.request.deadline_ms) - now;
         let b = &mut self.backends[index];
         if let Some(l) = self.learned.get(open.request.class).filter(|l| l.seen >= 20) {
             // n is short where the backend is in doubt and a repeat is allowed: a silent one costs little.
             let doubt = b.record.congested || b.record.doubt > 0;
-            if doubt && repeats && self.admission.retry >= 1.0 {
+            if doubt && repeats(class) && self.admission.retry >= 1.0 {
                 timeout = timeout.min(l.mean + 4.0 * l.spread);
             }
         }
@@ -967,6 +961,7 @@
             sent: now,
             timeout,
             out: true,
+            begun: false,
             never_ran: false,
             trial,
         });
@@ -1023,7 +1018,7 @@
         // A time that is no number must not spoil what is learned.
         let elapsed = if e.elapsed_ms.is_finite() { e.elapsed_ms } else { now - a.sent }.max(0.0);
         a.out = false;
-        self.in_flight = self.in_flight.saturating_sub(1);
+        self.in_flight = self.in_flight.saturating_sub(u32::from(!a.begun));
         a.never_ran = never_ran(&self.s, outcome);
         self.tally.end(outcome);
         open.finished |= e.last;
@@ -1225,6 +1220,11 @@
     }
 }
 
+/// A second try of this class may do no harm; a class nobody knows is held to be unsafe.
+fn repeats(class: Option<&Class>) -> bool {
+    class.is_some_and(|c| c.effect != Effect::Unsafe)
+}
+
 /// Proof that an attempt never ran: the one place that sends, refusals and the retry budget go by. Where
 /// backends shed work late, "full" is none.
 fn never_ran(s: &Settings, outcome: Outcome) -> bool {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -483,6 +483,33 @@
     assert!(refused(false) > 10, "or the clock of this test says nothing");
 }
 
+#[test]
+fn long_answers_that_are_passed_on_crowd_nobody_out() {
+    let out_at_once = |begun: bool| {
+        let classes = vec![class(400.0, 1000.0, Effect::Safe)];
+        let s = Settings { reporting: Reporting::Probes, instances: 1, classes, ..settings() };
+        let mut w = World::with_backends(s, 1, 5);
+        // Caps grow with what is in flight.
+        for n in 0..300 {
+            let ids: Vec<RequestId> = (0..25).map(|m| w.ask(0, Some(n * 25 + m))).collect();
+            w.wait(5.0);
+            ids.into_iter().for_each(|id| w.end(id, Outcome::Done));
+        }
+        let mut out = 0;
+        for n in 0..200 {
+            let id = w.ask(0, Some(n));
+            let Some(backend) = w.at(id) else { continue };
+            out += 1;
+            if begun {
+                w.feed(Event::Started { id, attempt: 0, backend, elapsed_ms: 1.0 });
+            }
+        }
+        out
+    };
+    let (begun, silent) = (out_at_once(true), out_at_once(false));
+    assert!(begun > silent + 20, "{begun} whose answers have begun, {silent} whose have not");
+}
+
 #[test]
 fn quick_errors_everywhere_are_passed_on_without_a_flood() {
     let mut w = safe(5);
