--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -35,8 +35,9 @@
 const TRANSFER: usize = 128 * 1024;
 /// Part of the memory limit that long transfers may fill.
 const TRANSFER_PART: usize = 3;
-/// An answer of unknown length is passed on after this even if it may yet prove short.
-const HOLD: Duration = Duration::from_millis(500);
+/// An answer of unknown length is passed on after this, or half of its attempt's time, even if it may yet prove
+/// short: of a long one the first bytes are timed, and a short one that takes longer is late in any case.
+const HOLD: Duration = Duration::from_millis(250);
 /// A backend that has begun a long answer and says nothing for so long has broken off.
 const SILENCE: Duration = Duration::from_secs(10);
 /// How long this node will wait, as a backend is told.
@@ -384,7 +385,8 @@
                 let body = conn.whole(body, BODY_LIMIT).await?;
                 return Ok::<_, BoxError>((head, First::Whole(body)));
             }
-            let first = conn.first(&mut body).await?;
+            let from = errand.call.upload.as_ref().and_then(|u| u.finished_at()).unwrap_or(begun);
+            let first = conn.first(&mut body, from + (errand.timeout / 2).min(HOLD)).await?;
             Ok((head, first.with(body)))
         };
         let answer = tokio::select! {
@@ -514,16 +516,15 @@
 
 impl Conn {
     /// Reads until the answer is over or known to be long.
-    async fn first(&mut self, body: &mut Incoming) -> Result<First, BoxError> {
+    /// One of unknown length is held until `until` for that.
+    async fn first(&mut self, body: &mut Incoming, until: Instant) -> Result<First, BoxError> {
         let announced = body.size_hint().lower() > BODY_LIMIT as u64;
         let told = body.size_hint().exact().is_some();
-        let until = Instant::now() + HOLD;
         let mut first = BytesMut::new();
         loop {
             let piece = if told || first.is_empty() {
                 self.piece(body).await?
             } else {
-                // Nobody knows whether more comes; what is there is held no longer than this.
                 match tokio::time::timeout_at(until.into(), self.piece(body)).await {
                     Ok(piece) => piece?,
                     Err(_) => return Ok(First::Long { first: first.freeze(), rest: () }),
