Refuse requests and answers that are framed twice

Seen with a test: Transfer-Encoding before Content-Length was served as chunked, since the parser drops the second and does not say so. framing.rs follows the bytes of a client's connection far enough to see both; the request is refused, the connection closed, what stands behind it not read.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod framing;
 mod handover;
 mod log;
 mod operator;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -390,7 +390,7 @@
     }
 
     fn serve(self: &Rc<Self>, stream: TcpStream, slot: Slot) {
-        let socket = Socket::new(stream, slot);
+        let socket = Socket::of_client(stream, slot);
         let client = Rc::new(Client {
             socket: socket.clone(),
             since: Instant::now(),
@@ -448,7 +448,10 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let path = head.uri.path();
-        let mut response = if path == "/api" || path.starts_with("/api/") {
+        let mut response = if client.socket.conflict() {
+            // Whoever stands before this node may read another request out of it: what follows is read by nobody.
+            farewell(StatusCode::BAD_REQUEST, "the body is framed twice\n")
+        } else if path == "/api" || path.starts_with("/api/") {
             match self.read(&client, arrived, head, body).await {
                 Ok(reading) => self.ask(busy, reading).await,
                 Err(refused) => refused,
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -1,5 +1,6 @@
 //! One TCP socket that counts what goes through it, and the count of all of them against the limit.
 
+use crate::framing::Framing;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
@@ -106,6 +107,8 @@
     stream: TcpStream,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// Of a client: requests come in, and what frames them is looked at.
+    framing: Option<RefCell<Framing>>,
     _slot: Slot,
 }
 
@@ -116,9 +119,18 @@
 impl Socket {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream, slot: Slot) -> Socket {
+        Socket::with(stream, slot, None)
+    }
+
+    /// The same for one on which requests come in.
+    pub fn of_client(stream: TcpStream, slot: Slot) -> Socket {
+        Socket::with(stream, slot, Some(RefCell::new(Framing::new())))
+    }
+
+    fn with(stream: TcpStream, slot: Slot, framing: Option<RefCell<Framing>>) -> Socket {
         // Without this small answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Inner { stream, read: Cell::new(0), written: Cell::new(0), _slot: slot }))
+        Socket(Rc::new(Inner { stream, read: Cell::new(0), written: Cell::new(0), framing, _slot: slot }))
     }
 
     /// Bytes read so far.
@@ -126,6 +138,11 @@
         self.0.read.get()
     }
 
+    /// A request came in that frames its body twice.
+    pub fn conflict(&self) -> bool {
+        self.0.framing.as_ref().is_some_and(|f| f.borrow().conflict())
+    }
+
     /// Bytes written so far.
     pub fn written(&self) -> u64 {
         self.0.written.get()
@@ -160,6 +177,10 @@
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     buf.advance(n);
+                    if let Some(framing) = &self.0.framing {
+                        let from = buf.filled().len() - n;
+                        framing.borrow_mut().feed(&buf.filled()[from..]);
+                    }
                     self.0.read.set(self.0.read.get() + n as u64);
                     return Poll::Ready(Ok(()));
                 }
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderMap, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
@@ -381,6 +381,9 @@
         let mut overdue = pin!(errand.overdue(begun));
         let exchange = async {
             let (head, mut body) = conn.begin(request).await?.into_parts();
+            if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
+                return Err("the answer is framed twice".into());
+            }
             if head.status != StatusCode::OK {
                 let body = conn.whole(body, BODY_LIMIT).await?;
                 return Ok::<_, BoxError>((head, First::Whole(body)));
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -35,6 +35,25 @@
         (400, format!("DELETE /api HTTP/1.1\r\n{head}X-Qos: other\r\n\r\n")),
         (404, format!("GET /apical HTTP/1.1\r\n{head}X-Qos: page\r\n\r\n")),
         (404, format!("POST / HTTP/1.1\r\n{head}X-Qos: bid\r\nContent-Length: 0\r\n\r\n")),
+        // Framed twice, the one way and the other; and a second request that a front might have seen in it.
+        (
+            400,
+            format!(
+                "POST /api HTTP/1.1\r\n{head}X-Qos: bid\r\nTransfer-Encoding: chunked\r\nContent-Length: 6\r\n\r\n0\r\n\r\nX"
+            ),
+        ),
+        (
+            400,
+            format!(
+                "POST /api HTTP/1.1\r\n{head}X-Qos: bid\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nX"
+            ),
+        ),
+        (
+            400,
+            format!(
+                "POST /api HTTP/1.1\r\n{head}X-Qos: bid\r\nContent-Length: 6\r\nContent-Length: 7\r\n\r\nbodies."
+            ),
+        ),
         (413, large),
         (413, chunked),
     ];
@@ -42,6 +61,12 @@
         let got = attempt(node.address, bytes.as_bytes()).map(|m| m.status());
         assert_eq!(got, Some(status), "{:?}", bytes.get(..100.min(bytes.len())));
     }
+    // What stands behind a request that is framed twice is not served.
+    let twice = "POST /api HTTP/1.1\r\nX-Qos: bid\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n";
+    let mut smuggler = Client::connect(node.address);
+    smuggler.send(&[twice.as_bytes(), &request("page", 900)].concat());
+    assert_eq!(smuggler.answer().map(|a| a.status()), Some(400));
+    assert!(smuggler.at_end());
     // Half a request and a silent leave.
     drop(Client::connect(node.address));
     let mut half = Client::connect(node.address);
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -57,6 +57,10 @@
             "cut in the body",
             Act::SayAndClose(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".to_vec()),
         ),
+        (
+            "framed twice",
+            Act::SayAndClose(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nab\r\n0\r\n\r\n".to_vec()),
+        ),
         ("no HTTP", Act::SayAndClose(b"what?\r\n\r\n".to_vec())),
     ]
 }
