--- a/src/balance.rs
+++ b/src/balance.rs
@@ -123,7 +123,7 @@
     in_flight: u32,
     /// Start of its cold time, by the list or by its silence.
     cold_since: f64,
-    /// Work that the cold budget still allows, in mean requests.
+    /// Work that the cold budget allowed at the last tick, less what was sent since, in mean requests.
     cold_tokens: f64,
     record: Record,
     cap: Cap,
@@ -203,12 +203,8 @@
 
     /// Part of the traffic that is for this key. One meeting says nothing.
     fn share(&self, key: u64) -> f64 {
-        let seen = self
-            .rows
-            .iter()
-            .zip(KeyCounts::slots(key))
-            .map(|(row, slot)| row[slot])
-            .fold(f32::MAX, f32::min);
+        let [a, b] = KeyCounts::slots(key);
+        let seen = self.rows[0][a].min(self.rows[1][b]);
         f64::from(seen - 1.0).max(0.0) / self.total.max(KeyCounts::EVIDENCE)
     }
 }
@@ -255,8 +251,7 @@
         let step = if self.seen < 20 { 1.0 / (self.seen as f64 + 1.0) } else { 0.02 };
         self.seen += 1;
         if self.seen < 20 {
-            self.high = self.mean;
-            self.usual = self.mean;
+            (self.high, self.usual) = (self.mean, self.mean);
         }
         self.high *= if elapsed > self.high { 1.02 } else { 0.995 };
         self.spread += step * ((elapsed - self.mean).abs() - self.spread);
@@ -591,7 +586,6 @@
 
     fn on_tick(&mut self, now: f64, out: &mut Vec<Action>) {
         let seconds = ((now - self.ticked) / 1000.0).max(1e-3);
-        self.ticked = now;
         out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
         let cold = |b: &Backend| now - b.cold_since < self.s.cold_ms;
         // What a warm backend can serve for this node is the yardstick of the cold budget. What it serves
@@ -607,10 +601,11 @@
             (self.warm_rate * (-seconds * 1000.0 / self.s.cold_ms.max(1.0)).exp()).max(self.warm_now);
         self.warm_count = 0.0;
         for i in 0..self.backends.len() {
-            let rate = self.cold_rate(now, i);
+            let gain = self.cold_gain(now, i);
             let b = &mut self.backends[i];
-            b.cold_tokens = (b.cold_tokens + rate * seconds).min(1.0);
+            b.cold_tokens = (b.cold_tokens + gain).min(1.0);
         }
+        self.ticked = now;
         self.keys.fade(seconds);
         self.place(now);
         let up = self.backends.iter().filter(|b| b.up).count().max(1) as f64;
@@ -618,9 +613,7 @@
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
         self.tell(now, out);
-        for b in self.backends.iter().filter(|b| now < b.close_until) {
-            out.push(Action::Release(b.id));
-        }
+        out.extend(self.backends.iter().filter(|b| now < b.close_until).map(|b| Action::Release(b.id)));
         // Trials by probe, one at a time, for backends past their PRAT.
         if self.s.probes {
             for i in 0..self.backends.len() {
@@ -633,6 +626,11 @@
         }
     }
 
+    /// Budget that a cold backend has gained since the last tick: a whole one, sent, must not wait for the next.
+    fn cold_gain(&self, now: f64, index: usize) -> f64 {
+        self.cold_rate(now, index) * (now - self.ticked).max(0.0) / 1000.0
+    }
+
     /// Requests a second that this node may send a cold backend. All nodes together may send
     /// `fall_multiple` times its present capacity; chance is allowed for: the mean plus three
     /// deviations stay below.
@@ -838,7 +836,8 @@
             }
         };
         let copies_kept = self.s.second_copies || !open.attempts.iter().any(|a| a.out);
-        let cold_kept = now - b.cold_since >= self.s.cold_ms || b.cold_tokens >= 1.0;
+        let cold_kept =
+            now - b.cold_since >= self.s.cold_ms || b.cold_tokens + self.cold_gain(now, index) >= 1.0;
         !open.finished
             && now < open.request.deadline_ms
             && (open.attempts.len() as u32) < self.s.max_attempts
@@ -930,6 +929,7 @@
             self.answer(now, id, out);
             return;
         };
+        let gain = self.cold_gain(now, index);
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = self.s.classes.get(open.request.class);
         let late = class.is_some_and(|c| c.late_worth > 0.0);
@@ -952,7 +952,7 @@
         let trial = b.record.congested;
         b.record.trial_out |= trial;
         if now - b.cold_since < self.s.cold_ms {
-            b.cold_tokens -= 1.0;
+            b.cold_tokens = b.cold_tokens.min(1.0 - gain) - 1.0;
         }
         open.attempts.push(Attempt {
             backend: b.id,
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -610,6 +610,28 @@
     assert!((sent as f64) < most, "{sent} sent in {seconds} s, {most} allowed");
 }
 
+#[test]
+fn the_cold_budget_does_not_wait_for_the_next_tick() {
+    // Found on the operators' days: at one request a tick, three a second, servers that were back served nobody.
+    let classes = vec![class(400.0, 1000.0, Effect::Safe)];
+    let s = Settings { classes, instances: 2, fall_ms: 2000.0, start_capacity: 0.5, ..settings() };
+    let mut w = World::with_backends(s, 1, 2);
+    w.warm_up(3000, 0, 10.0);
+    let fresh = Entry { ready_at_ms: w.now, ..up(9) };
+    w.list(ListKind::Changes, vec![fresh]);
+    let (mut sent, from) = (0, w.now);
+    for n in 0..1500 {
+        let id = w.ask(0, Some(n));
+        sent += usize::from(w.at(id) == Some(fresh.backend));
+        w.wait(5.0);
+        w.end(id, Outcome::Done);
+    }
+    let seconds = (w.now - from) / 1000.0;
+    let rate = f64::from(sent as u32) / seconds;
+    let allowed = 3.0 * 0.5 * 50.0;
+    assert!(rate > 6.0 && rate < allowed, "{rate} a second, {allowed} allowed to both nodes");
+}
+
 #[test]
 fn a_lull_does_not_make_backends_look_small_to_the_cold_budget() {
     // Sends to a fresh start within three seconds, of 300 asked, in twenty worlds.
