Halve the places for long transfers while two processes run

Descriptors were shared out between two processes, memory was not: each held a third of the limit for long bodies. Also a test that a client which stops for good frees its backend.

--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -85,7 +85,7 @@
 
 /// A text of the file, or of the environment where that names it too.
 fn text(file: &Value, field: &str, variable: Option<&str>) -> Result<Option<String>, ConfigError> {
-    if let Some(value) = variable.and_then(|v| std::env::var(v).ok()) {
+    if let Some(value) = variable.and_then(|v| std::env::var(v).ok()).filter(|v| !v.is_empty()) {
         return Ok(Some(value));
     }
     match file.get(field) {
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,11 +1,12 @@
 //! Two processes of one node, while one takes over from the other: who lives, and which part of the node's
-//! descriptors each may use.
+//! descriptors and places for long transfers each may use.
 
 use crate::config::Current;
 use crate::driver::Driver;
 use crate::log;
 use crate::socket::Descriptors;
 use crate::state::{Record, Stage, State};
+use crate::upstream::Upstream;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -60,6 +61,7 @@
     state: Rc<State>,
     driver: Rc<Driver>,
     descriptors: Rc<Descriptors>,
+    upstream: Rc<Upstream>,
     rules: Rc<Current>,
     pool: Pool,
     stage: Cell<Stage>,
@@ -73,14 +75,24 @@
         state: Rc<State>,
         driver: Rc<Driver>,
         descriptors: Rc<Descriptors>,
+        upstream: Rc<Upstream>,
         rules: Rc<Current>,
         fixed: usize,
     ) -> Rc<Handover> {
         let pool = Pool { alone: descriptors.limit(), fixed };
         let stage = Cell::new(Stage::Starting);
         let others = RefCell::default();
-        let handover =
-            Handover { state, driver, descriptors, rules, pool, stage, told: Cell::new(None), others };
+        let handover = Handover {
+            state,
+            driver,
+            descriptors,
+            upstream,
+            rules,
+            pool,
+            stage,
+            told: Cell::new(None),
+            others,
+        };
         handover.look();
         Rc::new(handover)
     }
@@ -155,6 +167,7 @@
         let stopping = self.stage.get() == Stage::Stopping;
         let limit = self.pool.limit(role, stopping, limit, used);
         self.descriptors.set_limit(limit);
+        self.upstream.halve(role != Role::Alone);
         if before != now {
             let role = match role {
                 Role::Alone => "alone",
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -169,7 +169,7 @@
             sweeping.sweep();
         }
     });
-    let server = Server::new(driver.clone(), upstream, rules.clone(), descriptors.clone());
+    let server = Server::new(driver.clone(), upstream.clone(), rules.clone(), descriptors.clone());
     for uid in state.cordoned().values() {
         log::line(&format!("{uid} is out by an operator's word, given before this start"));
     }
@@ -178,7 +178,14 @@
         let operator = Operator { driver: driver.clone(), server: server.clone(), descriptors };
         spawn_local(Rc::new(operator).listen(listener));
     }
-    let handover = Handover::new(state, driver.clone(), descriptors, rules.clone(), UNCOUNTED + reserved);
+    let handover = Handover::new(
+        state,
+        driver.clone(),
+        descriptors,
+        upstream.clone(),
+        rules.clone(),
+        UNCOUNTED + reserved,
+    );
     spawn_local(handover.clone().run());
     tokio::select! {
         () = handover.may_serve() => {}
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -238,6 +238,10 @@
     connect_limit: Cell<Duration>,
     idle_limit: Cell<Duration>,
     transfers: Semaphore,
+    /// Places in all, and those that were given up while in use.
+    places: usize,
+    owed: Cell<usize>,
+    halved: Cell<bool>,
 }
 
 /// The process or the whole machine has no descriptor left (EMFILE, ENFILE).
@@ -257,12 +261,16 @@
         connect_timeout_ms: f64,
         conn_idle_ms: f64,
     ) -> Rc<Upstream> {
+        let places = (memory / TRANSFER_PART / TRANSFER).max(2);
         let upstream = Rc::new(Upstream {
             idle: RefCell::default(),
             descriptors: descriptors.clone(),
             connect_limit: Cell::new(millis(connect_timeout_ms)),
             idle_limit: Cell::new(millis(conn_idle_ms * IDLE_PART)),
-            transfers: Semaphore::new((memory / TRANSFER_PART / TRANSFER).max(1)),
+            transfers: Semaphore::new(places),
+            places,
+            owed: Cell::new(0),
+            halved: Cell::new(false),
         });
         let weak = Rc::downgrade(&upstream);
         descriptors.on_pressure(Box::new(move || weak.upgrade().is_some_and(|u| u.drop_oldest())));
@@ -275,6 +283,20 @@
         self.idle_limit.set(millis(conn_idle_ms * IDLE_PART));
     }
 
+    /// Leaves half of the places for long transfers to another process of this node, or takes them back.
+    pub fn halve(&self, halved: bool) {
+        if self.halved.replace(halved) == halved {
+            return;
+        }
+        let half = self.places / 2;
+        if halved {
+            // What is in use is given up when it turns free.
+            self.owed.set(half - self.transfers.forget_permits(half));
+        } else {
+            self.transfers.add_permits(half - self.owed.replace(0));
+        }
+    }
+
     /// A place for a long transfer, where one is free or turns free within `wait`.
     pub async fn place(self: &Rc<Self>, wait: Duration) -> Option<Place> {
         let permit = tokio::time::timeout(wait, self.transfers.acquire()).await.ok()?.ok()?;
@@ -571,7 +593,10 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.transfers.add_permits(1);
+        match self.0.owed.get().checked_sub(1) {
+            Some(owed) => self.0.owed.set(owed),
+            None => self.0.transfers.add_permits(1),
+        }
     }
 }
 
@@ -626,3 +651,33 @@
     let rejected = (outcome == Outcome::Rejected).then_some(head.status);
     Finish { outcome, reply, load, rejected, took: None }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn two_processes_have_half_of_the_places_each() {
+        let memory = 8 * TRANSFER_PART * TRANSFER;
+        let upstream = Upstream::new(Descriptors::new(64), memory, 100.0, 1000.0);
+        let mut held = Vec::new();
+        for _ in 0..6 {
+            held.extend(upstream.place(Duration::ZERO).await);
+        }
+        assert_eq!(held.len(), 6);
+        upstream.halve(true);
+        upstream.halve(true);
+        assert!(upstream.place(Duration::ZERO).await.is_none());
+        // Two are over the half: they are given up as they turn free, and a third one is not.
+        held.truncate(4);
+        assert!(upstream.place(Duration::ZERO).await.is_none());
+        held.truncate(3);
+        held.extend(upstream.place(Duration::ZERO).await);
+        assert_eq!(held.len(), 4);
+        upstream.halve(false);
+        for _ in 0..9 {
+            held.extend(upstream.place(Duration::ZERO).await);
+        }
+        assert_eq!(held.len(), 8);
+    }
+}
--- a/tests/node_long.rs
+++ b/tests/node_long.rs
@@ -210,6 +210,29 @@
     assert_eq!(node.up(), 200);
 }
 
+#[test]
+fn a_client_that_stops_reading_or_sending_for_good_frees_the_backend() {
+    let bytes = [head("Content-Length: 32000000"), pattern(32_000_000)].concat();
+    let record = Record::default();
+    let addresses = backends(1, &record, move |_, _| Act::Say(bytes.clone()));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let mut reader = Client::connect(node.address);
+    reader.send(&request("page", 4000));
+    assert!(reader.first_byte());
+    let mut sender = Client::connect(node.address);
+    sender.send(&upload("bid", 900, "Content-Length: 3000000"));
+    sender.send(&pattern(500_000));
+    wait_for("both are on their way", || record.opened.load(Ordering::SeqCst) == 2);
+    // Both connections stay open, and silent, for longer than one may wait for anything else here.
+    let begun = Instant::now();
+    while record.open_now() > 0 {
+        assert!(begun.elapsed() < 3 * PATIENCE, "{} backend connections are still held", record.open_now());
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(node.up(), 200);
+}
+
 #[test]
 fn more_long_bodies_than_memory_holds_pass_within_it() {
     const LENGTH: usize = 4_000_000;
