Time long requests of known length from their last byte, and never take them for unsent

Seen with a test: a request of known length is not asked for more after its last byte, so its end was never noted. Its attempt had no time-out, a break after its last byte passed for 'never ran' and could be sent again, and its client was cut after 15 s of waiting for an answer. At fault: Outgoing::poll_frame noted the end at None alone. Besides, what has been sent whole does not count as stalled while its answer is waited for.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -85,6 +85,11 @@
         self.finished.get()
     }
 
+    fn finish(&self) {
+        self.finished.set(Some(Instant::now()));
+        self.told.notify_waiters();
+    }
+
     /// Waits for that.
     pub async fn finished(&self) -> Instant {
         loop {
@@ -122,6 +127,17 @@
     }
 }
 
+impl Outgoing {
+    /// Where the length is known, nobody asks for what comes after the last byte.
+    fn note_end(&self) {
+        if let Some(upload) = &self.upload
+            && upload.length == Some(self.sent)
+        {
+            upload.finish();
+        }
+    }
+}
+
 impl Drop for Outgoing {
     fn drop(&mut self) {
         if let (Some(upload), Some(rest)) = (&self.upload, self.rest.take()) {
@@ -141,6 +157,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         if let Some(first) = self.first.take() {
             self.sent += first.len() as u64;
+            self.note_end();
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         let Some(upload) = self.upload.clone() else { return Poll::Ready(None) };
@@ -154,8 +171,7 @@
         loop {
             match ready!(Pin::new(&mut *rest).poll_frame(cx)) {
                 None => {
-                    upload.finished.set(Some(Instant::now()));
-                    upload.told.notify_waiters();
+                    upload.finish();
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) => {
@@ -171,6 +187,7 @@
                         upload.too_long.set(true);
                         return Poll::Ready(Some(Err(Cut::TooLong)));
                     }
+                    self.note_end();
                     return Poll::Ready(Some(Ok(Frame::data(data))));
                 }
             }
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -486,7 +486,19 @@
         } else {
             let margin = MARGIN - LAST_MARGIN;
             let wait = wait.saturating_sub(LAST_MARGIN);
-            self.driver.submit(asked, rules, call, arrived, wait, margin).answer().await
+            let ticket = self.driver.submit(asked, rules, call, arrived, wait, margin);
+            let sent = async {
+                if let Some(upload) = &upload {
+                    upload.finished().await;
+                    // From here on the backend is waited for, and nothing moves.
+                    busy.0.moved.set(None);
+                }
+                std::future::pending().await
+            };
+            tokio::select! {
+                answer = ticket.answer() => answer,
+                never = sent => never,
+            }
         };
         // What is still to come of a request that is over must be read, or its client may not see the answer.
         if let Some(rest) = upload.and_then(|u| u.take_rest()) {
--- a/tests/node_long.rs
+++ b/tests/node_long.rs
@@ -233,6 +233,49 @@
     assert_eq!(node.up(), 200);
 }
 
+#[test]
+fn a_long_request_that_was_sent_whole_is_timed_and_never_sent_again() {
+    for (framing, body) in [
+        ("Content-Length: 100000", pattern(100_000)),
+        ("Transfer-Encoding: chunked", chunked(&pattern(100_000), 30_000)),
+    ] {
+        for act in [Act::Silent, Act::SayAndClose(Vec::new())] {
+            let record = Record::default();
+            let addresses = backends(3, &record, move |_, _| act.clone());
+            let discovery = Discovery::start(all_up(&addresses));
+            let node = Node::start(discovery.address, |_| {});
+            let mut client = Client::connect(node.address);
+            client.send(&upload("bid", 900, framing));
+            client.send(&body);
+            let begun = Instant::now();
+            assert_eq!(client.answer().map(|a| a.status()), Some(502), "it may have run: {framing}");
+            assert!(begun.elapsed() < Duration::from_millis(1500), "{:?}", begun.elapsed());
+            assert_eq!(record.count(), 1, "{framing}");
+        }
+    }
+}
+
+#[test]
+fn a_long_request_whose_answer_takes_its_time_has_not_stalled() {
+    let record = Record::default();
+    let addresses = backends(1, &record, |_, _| {
+        thread::sleep(Duration::from_millis(16_500));
+        ok(b"done")
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| {
+        for class in c["settings"]["classes"].as_array_mut().unwrap() {
+            class["objectiveMs"] = 60_000.into();
+            class["hardLimitMs"] = 60_000.into();
+        }
+    });
+    let mut client = Client::connect(node.address);
+    client.stream.set_read_timeout(Some(3 * PATIENCE)).unwrap();
+    client.send(&upload("bid", 60_000, "Content-Length: 100000"));
+    client.send(&pattern(100_000));
+    assert_eq!(client.answer().map(|a| a.status()), Some(200));
+}
+
 #[test]
 fn more_long_bodies_than_memory_holds_pass_within_it() {
     const LENGTH: usize = 4_000_000;
