--- a/src/balance.rs
+++ b/src/balance.rs
@@ -626,7 +626,7 @@
         }
     }
 
-    /// Budget that a cold backend has gained since the last tick: a whole one, sent, must not wait for the next.
+    /// Budget that a cold backend has gained since the last tick; one that is whole need not wait.
     fn cold_gain(&self, now: f64, index: usize) -> f64 {
         self.cold_rate(now, index) * (now - self.ticked).max(0.0) / 1000.0
     }
