--- a/src/bin/birchspoke-simhost.rs
+++ b/src/bin/daleturn-sim.rs
@@ -1,8 +1,8 @@
 //! Hosts instances of the balancer on the bench's wire: standard input to standard output. Instances share nothing.
 
-use birchspoke::Balancer;
-use birchspoke::interface::{Action, Event, ListKind};
-use birchspoke::wire::{Line, Names, list_kind, settings};
+use daleturn::Balancer;
+use daleturn::interface::{Action, Event, ListKind};
+use daleturn::wire::{Line, Names, list_kind, settings};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::io::{BufRead, Write};
@@ -128,7 +128,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("birchspoke-simhost: {e}");
+            eprintln!("daleturn-sim: {e}");
             ExitCode::from(2)
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,15 +5,15 @@
 //! the same seed and events give the same actions. How it decides is told in `docs/design.md`.
 //!
 //! ```
-//! use birchspoke::Balancer;
-//! use birchspoke::interface::{
+//! use daleturn::Balancer;
+//! use daleturn::interface::{
 //!     Action, BackendId, Ended, Entry, Event, Health, ListKind, Outcome, Request, RequestId,
 //! };
 //!
 //! // Settings can be built by hand; the codec reads them from JSON and fills in defaults.
 //! let text = r#"{"classes": [{"name": "page", "semantics": "idempotent", "objectiveMs": 300, "hardLimitMs": 900}],
 //!                "rules": {"coldMs": 20000, "startCapacity": 0.2, "fallMultiple": 3, "fallMs": 2000}}"#;
-//! let (settings, _names) = birchspoke::wire::settings(text)?;
+//! let (settings, _names) = daleturn::wire::settings(text)?;
 //! let mut balancer = Balancer::new(settings, 7)?;
 //! let mut actions = Vec::new();
 //! balancer.handle(0.0, Event::Start, &mut actions);
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,7 +1,7 @@
 //! `LB_CONFIG` and the environment, read into typed settings; and the file read again while the node serves.
 
-use birchspoke::interface::Settings;
-use birchspoke::wire::{self, Names, WireError, renumber};
+use daleturn::interface::Settings;
+use daleturn::wire::{self, Names, WireError, renumber};
 use serde_json::Value;
 use std::cell::RefCell;
 use std::fs::File;
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -9,12 +9,12 @@
 use crate::peers::Peers;
 use crate::state::State;
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
-use birchspoke::Balancer;
-use birchspoke::interface::{
+use daleturn::Balancer;
+use daleturn::interface::{
     Action, BackendId, Ended, Entry, Event, Health, ListKind, Memory, Outcome, Reporting, Request,
     RequestId, Settings,
 };
-use birchspoke::wire::stable_hash;
+use daleturn::wire::stable_hash;
 use hyper::StatusCode;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
--- a/src/node/log.rs
+++ b/src/node/log.rs
@@ -29,7 +29,7 @@
 
 fn write(text: &str) {
     // A log that nobody can take must not end the node.
-    let _ = writeln!(std::io::stderr(), "applemill: {text}");
+    let _ = writeln!(std::io::stderr(), "daleturn-node: {text}");
 }
 
 /// Writes a line, unless this second has had its share.
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,4 +1,4 @@
-//! One node: the decisions of the crate `birchspoke` on real sockets.
+//! One node: the decisions of the crate `daleturn` on real sockets.
 
 mod body;
 mod config;
@@ -24,8 +24,8 @@
 use crate::socket::{Descriptors, UNCOUNTED};
 use crate::state::State;
 use crate::upstream::Upstream;
-use birchspoke::Balancer;
-use birchspoke::interface::{Discovery, ListKind};
+use daleturn::Balancer;
+use daleturn::interface::{Discovery, ListKind};
 use serde_json::Value;
 use std::error::Error;
 use std::net::SocketAddr;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -6,9 +6,9 @@
 use crate::log;
 use crate::socket::{Descriptors, Slot, Socket};
 use crate::upstream::{BODY_LIMIT, BUFFER, Call, EXPIRES, Reply, ReplyBody, Upstream};
-use birchspoke::interface::{Effect, Request as Asked, RequestId};
-use birchspoke::wire::stable_hash;
 use bytes::{Bytes, BytesMut};
+use daleturn::interface::{Effect, Request as Asked, RequestId};
+use daleturn::wire::stable_hash;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -3,8 +3,8 @@
 //! Each file is written whole and renamed into place. One that is absent, torn or strange counts as none.
 
 use crate::log;
-use birchspoke::interface::{BackendId, Known, Memory};
-use birchspoke::wire::{Names, stable_hash};
+use daleturn::interface::{BackendId, Known, Memory};
+use daleturn::wire::{Names, stable_hash};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs::{self, File, TryLockError};
@@ -340,7 +340,7 @@
     fn names() -> Names {
         let text = r#"{"classes": [{"name": "a", "hardLimitMs": 1}, {"name": "b", "hardLimitMs": 1}],
                        "rules": {"coldMs": 1, "startCapacity": 1, "fallMultiple": 1, "fallMs": 1}}"#;
-        birchspoke::wire::settings(text).unwrap().1
+        daleturn::wire::settings(text).unwrap().1
     }
 
     #[test]
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -5,9 +5,9 @@
 
 use crate::body::{Outgoing, Piece, Upload};
 use crate::socket::{Descriptors, Slot, Socket};
-use birchspoke::interface::{BackendId, Load, Outcome};
-use birchspoke::wire;
 use bytes::{Bytes, BytesMut};
+use daleturn::interface::{BackendId, Load, Outcome};
+use daleturn::wire;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -1,9 +1,9 @@
 //! One small test for each transition of the design and for each failure found.
 mod common;
 
-use birchspoke::Balancer;
-use birchspoke::interface::*;
 use common::{World, class, settings, up};
+use daleturn::Balancer;
+use daleturn::interface::*;
 
 /// A world in which every request is safe, on `count` backends.
 fn safe(count: u64) -> World {
--- a/tests/codec.rs
+++ b/tests/codec.rs
@@ -1,6 +1,6 @@
 //! The codec: every message, and lines that are cut, reordered or oversized.
-use birchspoke::interface::*;
-use birchspoke::wire::{Line, Names, WireError, list_kind, settings};
+use daleturn::interface::*;
+use daleturn::wire::{Line, Names, WireError, list_kind, settings};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,8 @@
 //! tests say what happens.
 #![allow(dead_code)]
 
-use birchspoke::Balancer;
-use birchspoke::interface::*;
+use daleturn::Balancer;
+use daleturn::interface::*;
 use std::collections::BTreeMap;
 
 /// Time past the client's deadline in which an answer still counts, as the users' bench has it.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -401,11 +401,11 @@
             "known": {"rev": 0, "all": true, "targets": []}, "settings": settings()
         });
         change(&mut config);
-        let name = format!("applemill-test-{}-{}.json", std::process::id(), address.ip());
+        let name = format!("daleturn-node-test-{}-{}.json", std::process::id(), address.ip());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config.to_string()).unwrap();
         let mut child = Command::new("/bin/sh")
-            .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
+            .args(["-c", command, env!("CARGO_BIN_EXE_daleturn-node")])
             .env("LB_CONFIG", &file)
             .env("LB_DISCOVERY", discovery.to_string())
             .env_remove("TMPDIR")
@@ -420,7 +420,7 @@
     pub fn beside(&self, command: &str) -> Node {
         let operator = free_address();
         let mut child = Command::new("/bin/sh")
-            .args(["-c", command, env!("CARGO_BIN_EXE_applemill")])
+            .args(["-c", command, env!("CARGO_BIN_EXE_daleturn-node")])
             .env("LB_CONFIG", &self.file)
             .env("LB_OPERATOR", operator.to_string())
             .env_remove("TMPDIR")
@@ -616,7 +616,7 @@
 
 /// An empty directory of this test's own.
 pub fn scratch(name: &str) -> std::path::PathBuf {
-    let dir = std::env::temp_dir().join(format!("applemill-test-{}-{name}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("daleturn-node-test-{}-{name}", std::process::id()));
     let _ = std::fs::remove_dir_all(&dir);
     std::fs::create_dir_all(&dir).unwrap();
     dir
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,8 +1,8 @@
 //! Random event sequences; the world in `common` asserts the four rules at every action.
 mod common;
 
-use birchspoke::interface::*;
 use common::{World, settings, up};
+use daleturn::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/tests/recorded.rs
+++ b/tests/recorded.rs
@@ -15,7 +15,7 @@
 use std::process::{Child, ChildStdin, ChildStdout, Command, Stdio};
 
 const DAYS: usize = 24;
-const ADAPTER: &str = env!("CARGO_BIN_EXE_birchspoke-simhost");
+const ADAPTER: &str = env!("CARGO_BIN_EXE_daleturn-sim");
 
 fn folder() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/recorded")
