Give each decision of the policy a file of its own, with room for what comes

Change: src/policy/ has a file for each decision with Balancer as their owner; counting, averaging, sketches (measure.rs), open requests (ledger.rs) and what others may see (view.rs) decide nothing and moved out; counters that each node made from three fields became types. Option rejected: traits between the files, which would hide that they share one state.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -243,6 +243,16 @@
 }
 
 impl Settings {
+    /// The aim of a class; none is missed by one that is not there.
+    pub fn aim_ms(&self, class: usize) -> f64 {
+        self.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms)
+    }
+
+    /// How often a class may take effect; one that is not there is held to the strictest rules.
+    pub fn effect(&self, class: usize) -> Effect {
+        self.classes.get(class).map_or(Effect::Unsafe, |c| c.effect)
+    }
+
     /// Whether a balancer can run on these.
     ///
     /// # Errors
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,13 +41,16 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
-pub mod balance;
 pub mod interface;
+mod ledger;
+mod measure;
 mod news;
+pub mod policy;
 mod tally;
+mod view;
 pub mod wire;
 
-pub use balance::Balancer;
+pub use policy::Balancer;
 
 /// The README's example is a test too.
 #[doc = include_str!("../README.md")]
--- /dev/null
+++ b/src/measure.rs
@@ -0,0 +1,270 @@
+//! What is counted and averaged: windows, sketches, means that fade. It decides nothing; what follows from a
+//! figure is `src/policy/`'s to say.
+
+use crate::interface::Load;
+
+/// Buckets of the failure window (the source keeps 16 and one in the making).
+const BUCKETS: usize = 16;
+
+/// Failures and tries within a window of buckets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Window {
+    buckets: [(u16, u16); BUCKETS],
+    slot: u64,
+}
+
+impl Window {
+    fn turn(&mut self, now: f64, window: f64) {
+        let slot = (now.max(0.0) / (window / BUCKETS as f64)) as u64;
+        let passed = slot.saturating_sub(self.slot).min(BUCKETS as u64);
+        for i in 0..passed {
+            self.buckets[((slot - i) % BUCKETS as u64) as usize] = (0, 0);
+        }
+        self.slot = self.slot.max(slot);
+    }
+
+    /// Counts one try at `now` in a window of `window` milliseconds.
+    pub(crate) fn note(&mut self, now: f64, window: f64, failed: bool) {
+        self.turn(now, window);
+        let bucket = &mut self.buckets[(self.slot % BUCKETS as u64) as usize];
+        bucket.0 = bucket.0.saturating_add(u16::from(failed));
+        bucket.1 = bucket.1.saturating_add(1);
+    }
+
+    /// Failures and tries that are in it.
+    pub(crate) fn sums(&self) -> (f64, f64) {
+        self.buckets.iter().fold((0.0, 0.0), |(f, t), b| (f + f64::from(b.0), t + f64::from(b.1)))
+    }
+
+    /// Forgets all of them.
+    pub(crate) fn clear(&mut self) {
+        self.buckets = Default::default();
+    }
+}
+
+/// How pressed a backend is by its last reports, 0 to 1, and when that was heard.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pressure {
+    value: f64,
+    heard: f64,
+}
+
+impl Pressure {
+    /// After this long a report says nothing any more, in milliseconds.
+    const MEMORY: f64 = 10_000.0;
+
+    /// What is left of it at `now`: it returns to what backends are like at large.
+    pub(crate) fn at(self, now: f64, mean: f64) -> f64 {
+        if self.heard == 0.0 {
+            return mean;
+        }
+        mean + (self.value - mean) * (-(now - self.heard) / Pressure::MEMORY).exp()
+    }
+
+    /// Takes in a report. One that follows another soon counts less: it is noise of the same moment.
+    pub(crate) fn hear(&mut self, now: f64, mean: f64, value: f64) {
+        let known = self.at(now, mean);
+        let step =
+            if self.heard == 0.0 { 1.0 } else { 0.3 + 0.7 * (1.0 - (-(now - self.heard) / 1000.0).exp()) };
+        *self = Pressure { value: known + step * (value - known), heard: now };
+    }
+}
+
+/// How often each key is asked for at this node, counted in two rows of a sketch that fades.
+#[derive(Debug)]
+pub(crate) struct KeyCounts {
+    rows: [Vec<f32>; 2],
+    total: f64,
+}
+
+impl KeyCounts {
+    const SLOTS: usize = 2048;
+    /// Memory, in milliseconds: long enough for a node with few requests a second to meet a hot key again.
+    const MEMORY: f64 = 15_000.0;
+    /// Requests without which a share is not to be had.
+    const EVIDENCE: f64 = 20.0;
+
+    pub(crate) fn new() -> KeyCounts {
+        KeyCounts { rows: [vec![0.0; KeyCounts::SLOTS], vec![0.0; KeyCounts::SLOTS]], total: 0.0 }
+    }
+
+    fn slots(key: u64) -> [usize; 2] {
+        [key as usize % KeyCounts::SLOTS, (key >> 32) as usize % KeyCounts::SLOTS]
+    }
+
+    pub(crate) fn note(&mut self, key: u64) {
+        for (row, slot) in self.rows.iter_mut().zip(KeyCounts::slots(key)) {
+            row[slot] += 1.0;
+        }
+        self.total += 1.0;
+    }
+
+    pub(crate) fn fade(&mut self, seconds: f64) {
+        let keep = (-seconds * 1000.0 / KeyCounts::MEMORY).exp();
+        self.rows.iter_mut().flatten().for_each(|n| *n *= keep as f32);
+        self.total *= keep;
+    }
+
+    /// Part of the traffic that is for this key. One meeting says nothing.
+    pub(crate) fn share(&self, key: u64) -> f64 {
+        let [a, b] = KeyCounts::slots(key);
+        let seen = self.rows[0][a].min(self.rows[1][b]);
+        f64::from(seen - 1.0).max(0.0) / self.total.max(KeyCounts::EVIDENCE)
+    }
+}
+
+/// What this node has learned of a class.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Learned {
+    /// Mean time of answers, a stand-in for the class's work.
+    pub(crate) mean: f64,
+    /// Mean deviation of that.
+    pub(crate) spread: f64,
+    pub(crate) seen: u64,
+    /// Four of five answers take less.
+    pub(crate) high: f64,
+    /// The same in easy times: follows it down at once and up by a hundredth a second.
+    pub(crate) usual: f64,
+    /// How often clients allowed each hundredth of the deadline, and the hundredth allowed most.
+    allowed: Vec<u32>,
+    common: usize,
+    pub(crate) asked: f64,
+    pub(crate) served: f64,
+}
+
+impl Learned {
+    /// Time that a client has spent on earlier tries. First tries are all given the same time, the most
+    /// common one; a try given less, or more (the client's last), shows by its end when the first began.
+    pub(crate) fn age(&mut self, given: f64, deadline: f64) -> f64 {
+        if self.allowed.is_empty() {
+            self.allowed = vec![0; 101];
+        }
+        let bin = ((given / deadline * 100.0).round().clamp(0.0, 100.0)) as usize;
+        self.allowed[bin] += 1;
+        if self.allowed[bin] > self.allowed[self.common] {
+            self.common = bin;
+        }
+        if self.allowed[bin] > 1000 {
+            self.allowed.iter_mut().for_each(|n| *n /= 2);
+        }
+        let known = self.allowed[self.common] >= 8 && bin.abs_diff(self.common) > 2;
+        if known { (deadline - given).max(0.0) } else { 0.0 }
+    }
+
+    /// What was asked and served fades within twenty seconds; the usual time may rise by a hundredth a second.
+    pub(crate) fn fade(&mut self, seconds: f64) {
+        let fade = (-seconds / 20.0_f64).exp();
+        (self.asked, self.served) = (self.asked * fade, self.served * fade);
+        self.usual = (self.usual * (1.0 + 0.01 * seconds)).min(self.high);
+    }
+
+    /// Takes in the time of an answer.
+    pub(crate) fn answer(&mut self, elapsed: f64) {
+        let step = if self.seen < 20 { 1.0 / (self.seen as f64 + 1.0) } else { 0.02 };
+        self.seen += 1;
+        if self.seen < 20 {
+            (self.high, self.usual) = (self.mean, self.mean);
+        }
+        self.high *= if elapsed > self.high { 1.02 } else { 0.995 };
+        self.spread += step * ((elapsed - self.mean).abs() - self.spread);
+        self.mean += step * (elapsed - self.mean);
+    }
+}
+
+/// What a report says of how pressed a backend is, 0 to 1: how busy its cores are or, where only the queue is
+/// told, the work in it: an eighth of the aim is half pressed.
+pub(crate) fn pressed(load: &Load, aim: f64) -> Option<f64> {
+    let queued =
+        load.queue.or(load.in_hand).zip(load.latency_ms).map(|(n, ms)| n * ms / (n * ms + aim / 8.0));
+    load.busy.or(queued).map(|p| p.clamp(0.0, 1.0))
+}
+
+/// Rates of several sources, in events a second, as means that fade within two seconds.
+#[derive(Debug, Default)]
+pub(crate) struct Rates {
+    rates: Vec<f64>,
+    counts: Vec<u32>,
+}
+
+impl Rates {
+    pub(crate) fn resize(&mut self, sources: usize) {
+        self.rates.resize(sources, 0.0);
+        self.counts.resize(sources, 0);
+    }
+
+    pub(crate) fn note(&mut self, source: usize) {
+        self.counts[source] += 1;
+    }
+
+    pub(crate) fn at(&self, source: usize) -> f64 {
+        self.rates[source]
+    }
+
+    pub(crate) fn tick(&mut self, seconds: f64) {
+        let keep = (-seconds / 2.0_f64).exp();
+        for (rate, count) in self.rates.iter_mut().zip(&mut self.counts) {
+            *rate = *rate * keep + f64::from(*count) / seconds * (1.0 - keep);
+            *count = 0;
+        }
+    }
+}
+
+/// The most a second that one of several sources was lately seen to give, which fades slowly, and what one gives
+/// now.
+#[derive(Debug, Default)]
+pub(crate) struct Peak {
+    pub(crate) most: f64,
+    now: f64,
+    count: f64,
+}
+
+impl Peak {
+    pub(crate) fn note(&mut self) {
+        self.count += 1.0;
+    }
+
+    /// Takes in what `sources` of them gave within `seconds`; the peak fades within `memory_ms`.
+    pub(crate) fn tick(&mut self, seconds: f64, sources: usize, memory_ms: f64) {
+        let keep = (-seconds / 2.0_f64).exp();
+        if sources > 0 {
+            let rate = self.count / seconds / sources as f64;
+            self.now = self.now * keep + rate * (1.0 - keep);
+        }
+        self.most = (self.most * (-seconds * 1000.0 / memory_ms.max(1.0)).exp()).max(self.now);
+        self.count = 0.0;
+    }
+}
+
+/// Good and bad outcomes, weighed, and how many they were; all fade within about a second, so that small nodes
+/// still have some.
+#[derive(Debug, Default)]
+pub(crate) struct Evidence {
+    good: f64,
+    bad: f64,
+    seen: f64,
+}
+
+impl Evidence {
+    pub(crate) fn note(&mut self, good: f64, bad: f64, seen: f64) {
+        self.good += good;
+        self.bad += bad;
+        self.seen += seen;
+    }
+
+    /// Share of what was bad. Few outcomes are little evidence: they count for less.
+    pub(crate) fn bad_share(&self) -> f64 {
+        self.bad / (self.good + self.bad).max(1e-9) * self.seen / (self.seen + 2.0)
+    }
+
+    pub(crate) fn fade(&mut self, seconds: f64) {
+        let fade = (-seconds / 0.5_f64).exp();
+        (self.good, self.bad, self.seen) = (self.good * fade, self.bad * fade, self.seen * fade);
+    }
+}
+
+/// Spreads the bits of a number over all of it.
+pub(crate) fn mix(mut h: u64) -> u64 {
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,133 @@
+//! Admission: how much of what is asked may go in, what is worth least going first.
+
+use super::Balancer;
+use crate::interface::{Reporting, Request};
+use crate::measure::{Evidence, Learned, Rates};
+use crate::tally::Stop;
+
+/// Strain that the learned cap and admission settle at.
+pub(super) const TARGET_STRAIN: f64 = 0.2;
+/// Mean reported pressure from which admission holds it for strain.
+pub(super) const FILLING: f64 = 0.85;
+/// Requests in flight at a backend, of all nodes together, that none is held to be too small for.
+const FIRST_CROWD: f64 = 4.0;
+
+/// Admission: how much of what is asked may go in, what is worth least going first.
+#[derive(Debug, Default)]
+pub(crate) struct Admission {
+    /// Part of the offered work that is let in.
+    pub(crate) level: f64,
+    /// How much more than the first estimate this node may have in flight at all backends together.
+    pub(crate) room: f64,
+    /// A request has found that full since the last tick.
+    pub(super) crowded: bool,
+    pub(super) evidence: Evidence,
+    /// Share of backends that are congested or capped.
+    pub(super) blocked: f64,
+    /// Share of strain in recent outcomes.
+    pub(crate) strain: f64,
+    /// Offered work and worth by class, within and over share.
+    pub(super) offered: Vec<[f64; 2]>,
+    /// Chance of being let in.
+    pub(super) chance: Vec<[f64; 2]>,
+    /// Part of the room that it may fill: less for what is worth least.
+    pub(super) part: Vec<[f64; 2]>,
+    /// Requests a second of each tenant at this node.
+    pub(super) tenants: Rates,
+    /// Tokens for further attempts and for spills.
+    pub(super) retry: f64,
+    pub(crate) spill: f64,
+}
+
+impl Balancer {
+    pub(super) fn admission_tick(&mut self, seconds: f64) {
+        // After this node's own stall one tick spans seconds; it must not slam admission shut or open.
+        let seconds = seconds.min(1.0);
+        let keep = (-seconds / 2.0_f64).exp();
+        let a = &mut self.admission;
+        a.tenants.tick(seconds);
+        // Few outcomes are little evidence: without this, a node that admits next to nothing would hold
+        // on to the strain that made it so.
+        a.strain = a.evidence.bad_share();
+        // Reports show the fleet filling up before answers come late; some backends that are crowded for a
+        // second or two slow down for long. Where a full fleet still answers well within the aim, that much
+        // is learned to be no strain.
+        if self.pressure > self.full_at && a.strain < TARGET_STRAIN {
+            self.full_at += 0.03 * seconds;
+        } else if a.strain > 2.0 * TARGET_STRAIN {
+            self.full_at -= 0.03 * seconds;
+        }
+        self.full_at = self.full_at.clamp(FILLING, 1.0);
+        let filling = (self.pressure - self.full_at) / (1.0 - FILLING);
+        a.strain = a.strain.max(filling.clamp(0.0, 1.0));
+        if a.strain > TARGET_STRAIN {
+            a.level *= 1.0 - seconds * 2.0 * (a.strain - TARGET_STRAIN);
+        } else {
+            a.level += seconds * (0.05 + 0.5 * a.level) * (1.0 - a.strain / TARGET_STRAIN);
+        }
+        a.level = a.level.clamp(0.02, 1.0);
+        if a.crowded && a.strain < TARGET_STRAIN {
+            a.room *= 1.0 + 0.2 * seconds;
+        }
+        a.crowded = false;
+        a.evidence.fade(seconds);
+        let mut order: Vec<(f64, usize, usize)> = Vec::new();
+        let served = |l: &Learned| if l.asked > 0.0 { l.served / l.asked } else { 1.0 };
+        let worst = self.learned.iter().map(served).fold(1.0, f64::min);
+        let work = |l: &Learned| if self.s.worth_by_work { 1.0 } else { l.mean.max(1.0) };
+        let total: f64 = self.learned.iter().zip(&self.s.classes).map(|(l, c)| l.asked * c.worth).sum();
+        for (i, (l, c)) in self.learned.iter().zip(&self.s.classes).enumerate() {
+            let own = (l.asked * c.worth).max(1e-9);
+            let near = (1.0 - (served(l) - worst) / 0.05).max(0.0);
+            let gain = (self.s.goal.whole + self.s.goal.worst_window) / total.max(1e-9)
+                + self.s.goal.worst_class * near / own;
+            for over in 0..2 {
+                let part = if over == 1 { self.s.over_share_worth } else { 1.0 };
+                order.push((c.worth * gain * part / work(l), i, over));
+            }
+        }
+        order.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let a = &mut self.admission;
+        let mut left = a.level * a.offered.iter().map(|o| o[0] + o[1]).sum::<f64>();
+        let last = order.len().max(2) as f64 - 1.0;
+        for (n, (_, i, over)) in order.into_iter().enumerate() {
+            a.part[i][over] = 1.0 - 0.3 * n as f64 / last;
+            let offered = a.offered[i][over];
+            a.chance[i][over] = if offered <= left || offered <= 0.0 { 1.0 } else { left / offered };
+            left = (left - offered).max(0.0);
+            a.offered[i][over] *= keep;
+        }
+        self.learned.iter_mut().for_each(|l| l.fade(seconds));
+    }
+
+    /// Whether a request goes in: by its class's chance, and where there is room. `over`: worth less than its
+    /// class, since its tenant is over its share or it comes late.
+    pub(super) fn let_in(&mut self, request: &Request, cost: f64, worth: f64, over: bool) -> bool {
+        let (class, over) = (request.class, usize::from(over));
+        let Some(offered) = self.admission.offered.get_mut(class) else { return worth > 0.0 };
+        offered[over] += cost;
+        let chance = self.admission.chance[class][over];
+        let let_in = worth > 0.0 && (chance >= 1.0 || self.rng.f64() < chance);
+        let nodes = f64::from(self.s.instances.max(1));
+        let room = self.admission.room * FIRST_CROWD * self.places.len() as f64 / nodes;
+        // Where that is a few requests, chance alone exceeds it.
+        let room = (room + 3.0 * room.sqrt()).max(1.0) * self.admission.part[class][over];
+        let crowded = self.s.reporting != Reporting::None && f64::from(self.in_flight) + 1.0 > room;
+        self.admission.crowded |= crowded;
+        if crowded || !let_in {
+            self.tally.stop(if let_in { Stop::Room } else { Stop::Level });
+        }
+        let_in && !crowded
+    }
+
+    /// Over its share: by chance, as often as the tenant's traffic exceeds this node's part of its quota.
+    pub(super) fn over_share(&mut self, tenant: Option<usize>) -> bool {
+        let Some((i, quota)) = tenant.and_then(|t| self.s.tenants.get(t).map(|q| (t, q.quota_rps))) else {
+            return false;
+        };
+        self.admission.tenants.note(i);
+        let own = quota / f64::from(self.s.instances.max(1));
+        let rate = self.admission.tenants.at(i);
+        own > 0.0 && rate > own && self.rng.f64() > own / rate
+    }
+}
--- /dev/null
+++ b/src/policy/cold.rs
@@ -0,0 +1,33 @@
+//! The budget of cold backends: what all nodes together may send one that has just started, and a node's
+//! part of that. Warm ones are its yardstick.
+
+use super::Balancer;
+use crate::interface::Settings;
+
+/// Work of a request at a backend that knows no key, over its work at a warm one.
+const COLD_KEY_WORK: f64 = 2.0;
+
+impl Balancer {
+    /// Budget that a cold backend has gained since the last tick; one that is whole need not wait.
+    pub(super) fn cold_gain(&self, now: f64, index: usize) -> f64 {
+        self.cold_rate(now, index) * (now - self.ticked).max(0.0) / 1000.0
+    }
+
+    /// Requests a second that this node may send a cold backend. All nodes together may send
+    /// `fall_multiple` times its present capacity; chance is allowed for: the mean plus three
+    /// deviations stay below.
+    pub(super) fn cold_rate(&self, now: f64, index: usize) -> f64 {
+        let part = ramp(&self.s, now - self.backends[index].cold_since);
+        let seconds = self.s.fall_ms / 1000.0;
+        let all = f64::from(self.s.instances.max(1));
+        let budget = self.s.fall_multiple * part * self.warm.most * all * seconds / COLD_KEY_WORK;
+        let root = ((18.0 + 4.0 * budget).sqrt() - 18.0_f64.sqrt()) / 2.0;
+        (root * root / seconds / all).min(part * self.warm.most)
+    }
+}
+
+/// A cold backend's present part of its capacity, by the slowest ramp the settings allow.
+pub(super) fn ramp(s: &Settings, age: f64) -> f64 {
+    let start = s.start_capacity.clamp(0.01, 1.0);
+    if age >= s.cold_ms { 1.0 } else { start + (1.0 - start) * (age / s.cold_ms).clamp(0.0, 1.0) }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,202 @@
+//! Every decision of the balancer, a file for each. Events and actions are in `src/interface.rs`.
+//!
+//! [`Balancer`] owns what they know and hands each event to them. Two gates keep the rules: every send passes
+//! `may_send`, every refusal `answer`.
+
+mod admission;
+mod cap;
+mod cold;
+mod fleet;
+mod gates;
+mod peers;
+mod pick;
+mod record;
+mod refusal;
+mod requests;
+
+use crate::interface::{Action, BackendId, Discovery, Event, Outcome, RequestId, Settings, SettingsError};
+use crate::ledger::Open;
+use crate::measure::{KeyCounts, Learned, Peak, Pressure};
+use crate::news::News;
+use crate::tally::Tally;
+use admission::Admission;
+pub(crate) use cap::Cap;
+use pick::Place;
+use record::Record;
+use std::collections::HashMap;
+
+const TICK: u64 = 1;
+const ASK: u64 = 2;
+
+/// One backend as this node knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Backend {
+    pub(crate) id: BackendId,
+    pub(crate) zone: u16,
+    cell: u32,
+    units: f64,
+    /// Listed and up; sends elsewhere are against the drain rule.
+    pub(crate) up: bool,
+    /// Until when idle connections are closed again at each tick: one whose handshake was under way at the
+    /// notice, or at the last outcome, turns idle later. 0 where nothing is to be closed.
+    close_until: f64,
+    pub(crate) in_flight: u32,
+    /// Start of its cold time, by the list or by its silence.
+    pub(crate) cold_since: f64,
+    /// Work that the cold budget allowed at the last tick, less what was sent since, in mean requests.
+    cold_tokens: f64,
+    pub(crate) record: Record,
+    pub(crate) cap: Cap,
+    load: Pressure,
+}
+
+/// The decisions of one node. Feed it events, carry out its actions.
+///
+/// See the crate's page for an example.
+#[derive(Debug)]
+pub struct Balancer {
+    pub(crate) s: Settings,
+    rng: fastrand::Rng,
+    pub(crate) backends: Vec<Backend>,
+    places: Vec<Place>,
+    open: HashMap<RequestId, Open>,
+    pub(crate) learned: Vec<Learned>,
+    keys: KeyCounts,
+    pub(crate) admission: Admission,
+    tally: Tally,
+    /// Share of recent attempts, over all backends, that failed to connect or answer.
+    fleet_failing: f64,
+    /// Attempts that are out and not answered yet.
+    pub(crate) in_flight: u32,
+    /// Mean pressure that answers report, over all backends.
+    pub(crate) pressure: f64,
+    /// Mean pressure above which the fleet is too full.
+    full_at: f64,
+    /// The most requests a second that a warm backend was lately seen to serve for this node.
+    pub(crate) warm: Peak,
+    ticked: f64,
+    ask_failures: u32,
+}
+
+impl Balancer {
+    /// A balancer that knows its settings and nothing else. The same seed and events give the same
+    /// actions.
+    ///
+    /// # Errors
+    /// Settings that cannot be run on: no class, or a figure outside its range.
+    pub fn new(settings: Settings, seed: u64) -> Result<Balancer, SettingsError> {
+        settings.check()?;
+        let mut balancer = Balancer {
+            rng: fastrand::Rng::with_seed(seed),
+            backends: Vec::new(),
+            places: Vec::new(),
+            open: HashMap::new(),
+            learned: Vec::new(),
+            keys: KeyCounts::new(),
+            admission: Admission { level: 1.0, room: 1.0, retry: 3.0, spill: 3.0, ..Admission::default() },
+            tally: Tally::default(),
+            fleet_failing: 0.0,
+            in_flight: 0,
+            pressure: 0.0,
+            full_at: admission::FILLING,
+            warm: Peak::default(),
+            ticked: 0.0,
+            ask_failures: 0,
+            s: settings.clone(),
+        };
+        balancer.take_on(settings);
+        Ok(balancer)
+    }
+
+    /// Takes settings on, first or new ones. A class whose number stood for another is learned anew.
+    fn take_on(&mut self, s: Settings) {
+        let same = |i: usize| self.s.classes.get(i) == s.classes.get(i);
+        let learned = |i| self.learned.get(i).filter(|_| same(i)).cloned().unwrap_or_default();
+        self.learned = (0..s.classes.len()).map(learned).collect();
+        let a = &mut self.admission;
+        a.offered.resize(s.classes.len(), [0.0; 2]);
+        a.chance.resize(s.classes.len(), [1.0; 2]);
+        a.part.resize(s.classes.len(), [1.0; 2]);
+        a.tenants.resize(s.tenants.len());
+        self.s = s;
+    }
+
+    /// Takes one event at the time `now` and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Start => {
+                self.ticked = now;
+                out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
+                if self.s.discovery == Discovery::OnRequest {
+                    // The list that is known serves meanwhile.
+                    let wait = self.ask_spread() * self.rng.f64();
+                    out.push(Action::Timer { token: ASK, at_ms: now + wait });
+                }
+            }
+            Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
+            Event::Request(r) => self.on_request(now, r, out),
+            Event::Ended(e) => self.on_ended(now, &e, out),
+            Event::Memory(memory) => self.go_on_from(&memory),
+            Event::Left(id) => self.on_left(id, out),
+            Event::Timer(TICK) => self.on_tick(now, out),
+            Event::Timer(ASK) => out.push(Action::Watch(true)),
+            Event::Probed { backend, outcome, .. } => {
+                if let Some(i) = self.find(backend).filter(|&i| self.backends[i].record.trial_out) {
+                    let live = outcome == Outcome::Done;
+                    self.trial_over(now, i, if live { News::Live } else { News::TrialFailed }, out);
+                }
+            }
+            Event::Message { bytes, .. } => self.on_news(now, &bytes, out),
+            Event::Started { id, attempt, elapsed_ms, .. } => self.on_started(now, id, attempt, elapsed_ms),
+            Event::Settings(s) if s.check().is_ok() => self.take_on(*s),
+            Event::Timer(_) | Event::Settings(_) => {}
+        }
+    }
+
+    fn longest_aim(&self) -> f64 {
+        self.s.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max)
+    }
+
+    /// Housekeeping comes ten times within a fall window or so, never faster than twenty batches.
+    fn tick_span(&self) -> f64 {
+        (self.s.fall_ms / 6.0).max(20.0 * self.s.tick_ms).max(1.0)
+    }
+
+    fn on_tick(&mut self, now: f64, out: &mut Vec<Action>) {
+        let seconds = ((now - self.ticked) / 1000.0).max(1e-3);
+        out.push(Action::Timer { token: TICK, at_ms: now + self.tick_span() });
+        let cold = |b: &Backend| now - b.cold_since < self.s.cold_ms;
+        // What a warm backend can serve for this node is the yardstick of the cold budget. What it serves
+        // now may be less, where little is asked or where time-outs are all that a crowd leaves of it: the
+        // most that was seen counts, and fades within a cold time.
+        let warm = self.backends.iter().filter(|b| b.up && !b.record.congested && !cold(b)).count();
+        self.warm.tick(seconds, warm, self.s.cold_ms);
+        for i in 0..self.backends.len() {
+            let gain = self.cold_gain(now, i);
+            let b = &mut self.backends[i];
+            b.cold_tokens = (b.cold_tokens + gain).min(1.0);
+        }
+        self.ticked = now;
+        self.keys.fade(seconds);
+        self.place(now);
+        let up = self.backends.iter().filter(|b| b.up).count().max(1) as f64;
+        let shut = |b: &&Backend| b.up && (b.record.congested || b.cap.blocks(now, b.in_flight));
+        self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
+        self.admission_tick(seconds);
+        self.tell(now, out);
+        out.extend(self.backends.iter().filter(|b| now < b.close_until).map(|b| Action::Release(b.id)));
+        // Trials by probe, one at a time, for backends past their PRAT.
+        if self.s.probes {
+            for b in self.backends.iter_mut().filter(|b| b.up && b.record.trial_due(now)) {
+                b.record.trial_out = true;
+                out.push(Action::Probe(b.id));
+            }
+        }
+    }
+
+    /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
+    fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
+        let Some(tally) = self.tally.take(now) else { return };
+        out.push(Action::Log(tally.line(&self.look(now))));
+    }
+}
--- /dev/null
+++ b/src/policy/record.rs
@@ -0,0 +1,104 @@
+//! The failure record of a backend: failures and tries in a window, the congested state with its PRAT, and
+//! the trials that end it. It knows outcomes, not requests.
+
+use super::Balancer;
+use crate::interface::Action;
+use crate::measure::Window;
+use crate::news::News;
+
+/// Part of attempts that fail at a backend which serves hardly anybody.
+const TOLD_FAILING: f64 = 0.75;
+/// Time between the trials of nodes that tripped together: about what a message takes.
+const TRIAL_SPACING: f64 = 20.0;
+
+/// The failure record: failures and tries in a window of buckets, and the congested state with its PRAT.
+#[derive(Debug, Default)]
+pub(crate) struct Record {
+    pub(super) window: Window,
+    /// Failures since the last answer of any kind.
+    pub(super) doubt: u32,
+    pub(crate) congested: bool,
+    pub(crate) prat: f64,
+    /// Trials failed in a row.
+    pub(super) failed_trials: u32,
+    pub(super) trial_out: bool,
+}
+
+impl Record {
+    pub(super) fn note(&mut self, now: f64, window: f64, failed: bool) {
+        self.window.note(now, window, failed);
+        self.doubt = if failed { self.doubt.saturating_add(1) } else { 0 };
+    }
+
+    pub(super) fn trial_due(&self, now: f64) -> bool {
+        self.congested && !self.trial_out && now >= self.prat
+    }
+
+    pub(super) fn revive(&mut self) {
+        self.window.clear();
+        *self = Record { window: std::mem::take(&mut self.window), ..Record::default() };
+    }
+}
+
+impl Balancer {
+    /// N: half of the time a restart takes to warm, so that a failure is forgotten before its cause recurs.
+    pub(super) fn window(&self) -> f64 {
+        (self.s.cold_ms / 2.0).max(2.0 * self.longest_aim())
+    }
+
+    /// t: the longest aim at first, doubled by each failed trial, a quarter of the cold time at most.
+    pub(super) fn pause(&mut self, failed_trials: u32) -> f64 {
+        let most = (self.s.cold_ms / 4.0).max(self.longest_aim());
+        let t = (self.longest_aim() * f64::from(1_u32 << failed_trials.min(6))).min(most);
+        // Nodes that tell each other trip together: whoever tries first spares the others their trial.
+        let spread = if self.seldom() { TRIAL_SPACING * f64::from(self.s.instances) } else { 0.0 };
+        t * (0.75 + 0.5 * self.rng.f64()) + spread * self.rng.f64()
+    }
+
+    /// Marks a backend congested if it has failed too often.
+    pub(super) fn judge(&mut self, now: f64, i: usize, out: &mut Vec<Action>) {
+        let record = &self.backends[i].record;
+        let (failures, tries) = record.window.sums();
+        // M grows with traffic and with what the whole fleet suffers: a shared failure says little of one.
+        // Where nodes tell each other, it is for what serves hardly anybody: the crowded still serve some.
+        let part = 0.25 + 3.0 * self.fleet_failing;
+        let most = 1.0 + tries * if self.seldom() { part.max(TOLD_FAILING) } else { part };
+        // A backend that has just fallen silent has a window full of old answers: a run of failures
+        // that chance would bring once in two hundred trips it too.
+        let run = 1.0 + 0.005_f64.ln() / self.fleet_failing.clamp(0.02, 0.95).ln();
+        if !record.congested && (failures > most || f64::from(record.doubt) > run) {
+            let t = self.pause(0);
+            let b = &mut self.backends[i];
+            b.record.congested = true;
+            b.record.prat = now + t;
+            let text =
+                format!("congested {:016x}: {failures} failures of {tries}, trial in {t:.0} ms", b.id.0);
+            out.push(Action::Log(text));
+        }
+    }
+
+    pub(super) fn trial_over(&mut self, now: f64, i: usize, news: News, out: &mut Vec<Action>) {
+        self.tell_all(news, i, out);
+        self.backends[i].record.trial_out = false;
+        self.settle(now, i, news, out);
+    }
+
+    pub(super) fn settle(&mut self, now: f64, i: usize, news: News, out: &mut Vec<Action>) {
+        let failed_trials = self.backends[i].record.failed_trials;
+        let t = self.pause(failed_trials + 1);
+        let b = &mut self.backends[i];
+        if matches!(news, News::TrialFailed) {
+            b.record.failed_trials += 1;
+            b.record.prat = now + t;
+            return;
+        }
+        // Back from a silence that outlasted a trial: it may have restarted, and the list is late to say so.
+        if failed_trials > 0 {
+            b.cold_since = now;
+            b.cold_tokens = self.rng.f64();
+        }
+        b.record.revive();
+        let text = format!("live {:016x}: trial answered after {failed_trials} failed", b.id.0);
+        out.push(Action::Log(text));
+    }
+}
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -51,6 +51,33 @@
     }
 }
 
+/// How the fleet looks to a node that tells its counts.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Look {
+    /// Admission's level, strain and room.
+    pub(crate) level: f64,
+    pub(crate) strain: f64,
+    pub(crate) pressure: f64,
+    pub(crate) room: f64,
+    /// Budget of spills.
+    pub(crate) spill: f64,
+    /// Backends that are congested, and that are at their cap.
+    pub(crate) out: usize,
+    pub(crate) capped: usize,
+    pub(crate) in_flight: u32,
+}
+
+impl Tally {
+    /// The line for the log.
+    pub(crate) fn line(&self, look: &Look) -> String {
+        let Look { level, strain, pressure, room, spill, out, capped, in_flight } = look;
+        format!(
+            "{self}; level {level:.2} strain {strain:.2} pressure {pressure:.2} room {room:.2} spill {spill:.1}; \
+             backends out {out}, at cap {capped}, in flight {in_flight}"
+        )
+    }
+}
+
 impl fmt::Display for Tally {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let [level, room, backend] = self.stopped;
--- /dev/null
+++ b/src/view.rs
@@ -0,0 +1,50 @@
+//! What others may see of a balancer, and what it takes over from another: it reads and restores state, and
+//! decides nothing.
+
+use crate::interface::{Known, Memory};
+use crate::measure::Learned;
+use crate::policy::{Backend, Balancer, Cap};
+use crate::tally::Look;
+
+impl Balancer {
+    /// What the next process of this node can go on from.
+    pub fn memory(&self) -> Memory {
+        let known = |b: &Backend| {
+            let prat = b.record.congested.then_some(b.record.prat);
+            Known { backend: b.id, limit: b.cap.limit, cut_at: b.cap.cut_at, prat }
+        };
+        let times = |l: &Learned| if l.seen < 20 { [0.0; 4] } else { [l.mean, l.spread, l.high, l.usual] };
+        let classes = self.learned.iter().map(times).collect();
+        Memory { warm_rate: self.warm.most, backends: self.backends.iter().map(known).collect(), classes }
+    }
+
+    /// Goes on from that.
+    pub(crate) fn go_on_from(&mut self, memory: &Memory) {
+        self.warm.most = self.warm.most.max(memory.warm_rate);
+        for k in &memory.backends {
+            let Some(i) = self.find(k.backend) else { continue };
+            let b = &mut self.backends[i];
+            b.cap = Cap { limit: k.limit, cut_at: k.cut_at, ..Cap::default() };
+            (b.record.congested, b.record.prat) = (k.prat.is_some(), k.prat.unwrap_or(0.0));
+        }
+        for (l, times) in self.learned.iter_mut().zip(&memory.classes).filter(|(_, t)| t[0] > 0.0) {
+            [l.mean, l.spread, l.high, l.usual] = *times;
+            l.seen = 20;
+        }
+    }
+
+    /// How the fleet looks from here.
+    pub(crate) fn look(&self, now: f64) -> Look {
+        let count = |f: &dyn Fn(&Backend) -> bool| self.backends.iter().filter(|b| b.up && f(b)).count();
+        Look {
+            level: self.admission.level,
+            strain: self.admission.strain,
+            pressure: self.pressure,
+            room: self.admission.room,
+            spill: self.admission.spill,
+            out: count(&|b| b.record.congested),
+            capped: count(&|b| b.cap.blocks(now, b.in_flight)),
+            in_flight: self.in_flight,
+        }
+    }
+}
