--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,57 @@
+//! `daleturn`, the operators' command: what is said on the command line, and what is printed. What it does lives
+//! in the libraries.
+
+mod call;
+mod config;
+mod page;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use std::process::ExitCode;
+
+/// Operates daleturn, an HTTP load balancer that runs large fleets through failures.
+///
+/// Exit codes: 0 done, 1 the answer is no or a file is wrong, 2 the command line is wrong.
+#[derive(Debug, Parser)]
+#[command(name = "daleturn", version, max_term_width = 100, arg_required_else_help = true)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Calls a node at its operators' address
+    #[command(after_help = call::EXAMPLES)]
+    Call(call::Args),
+    /// Checks configuration files, and tells what they may hold
+    #[command(subcommand)]
+    Config(config::Command),
+    /// Prints a script that completes this command in a shell
+    #[command(after_help = "Example:\n  daleturn completions bash > /etc/bash_completion.d/daleturn")]
+    Completions {
+        /// Which shell
+        shell: Shell,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Args::parse().command {
+        Command::Call(args) => call::run(&args),
+        Command::Config(command) => config::run(&command),
+        Command::Completions { shell } => {
+            let mut script = Vec::new();
+            clap_complete::generate(shell, &mut Args::command(), "daleturn", &mut script);
+            page::print(&String::from_utf8_lossy(&script))
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        // Whoever read the output has seen enough.
+        Err(page::Failure::Closed) => ExitCode::SUCCESS,
+        Err(page::Failure::Said(why)) => {
+            eprintln!("daleturn: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/calls.rs
@@ -0,0 +1,206 @@
+//! What operators call a node, and how it is asked: one line to a connection, one line back that begins with
+//! `OK` or `ERR`.
+
+use std::fmt;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// A longer line is no call.
+pub const LONGEST: usize = 512;
+/// A longer answer is none of a node's.
+const LONGEST_ANSWER: u64 = 8 * 1024 * 1024;
+
+/// What an operator wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether it takes clients.
+    Health,
+    /// Take a backend out.
+    Cordon(String),
+    /// Put it back.
+    Uncordon(String),
+    /// Send clients away.
+    Quiesce,
+    /// End that.
+    Resume,
+    /// Its figures.
+    Stats,
+}
+
+/// Why a line is no call.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// It does not end in time.
+    #[error("a call is a line of at most {LONGEST} bytes")]
+    Long,
+    /// The connection ended before the line did.
+    #[error("the line was not ended")]
+    Cut,
+    /// No whole line came in time.
+    #[error("no whole call within {0} s")]
+    Late(u64),
+    /// It cannot be read.
+    #[error("the line is not UTF-8")]
+    Text,
+    /// There is nothing in it.
+    #[error("the line is empty")]
+    Empty,
+    /// Nobody knows it.
+    #[error("unknown call; there are health, cordon ID, uncordon ID, quiesce, resume, stats")]
+    Unknown,
+    /// It takes one word more.
+    #[error("{0} takes one backend's ID")]
+    NeedsId(&'static str),
+    /// It takes no word more.
+    #[error("{0} takes nothing more")]
+    TakesNothing(&'static str),
+}
+
+impl Call {
+    /// Reads a line, without its end.
+    ///
+    /// # Errors
+    /// It is no call.
+    pub fn parse(line: &[u8]) -> Result<Call, CallError> {
+        let line = std::str::from_utf8(line).map_err(|_| CallError::Text)?;
+        let mut words = line.split_ascii_whitespace();
+        let call = words.next().ok_or(CallError::Empty)?;
+        let id = words.next();
+        let more = words.next().is_some();
+        let with_id = |name| id.filter(|_| !more).map(str::to_owned).ok_or(CallError::NeedsId(name));
+        let alone = |name, call| if id.is_none() { Ok(call) } else { Err(CallError::TakesNothing(name)) };
+        match call {
+            "health" => alone("health", Call::Health),
+            "cordon" => with_id("cordon").map(Call::Cordon),
+            "uncordon" => with_id("uncordon").map(Call::Uncordon),
+            "quiesce" => alone("quiesce", Call::Quiesce),
+            "resume" => alone("resume", Call::Resume),
+            "stats" => alone("stats", Call::Stats),
+            _ => Err(CallError::Unknown),
+        }
+    }
+}
+
+impl fmt::Display for Call {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Call::Health => f.write_str("health"),
+            Call::Cordon(id) => write!(f, "cordon {id}"),
+            Call::Uncordon(id) => write!(f, "uncordon {id}"),
+            Call::Quiesce => f.write_str("quiesce"),
+            Call::Resume => f.write_str("resume"),
+            Call::Stats => f.write_str("stats"),
+        }
+    }
+}
+
+/// Why no answer came.
+#[derive(Debug, Error)]
+pub enum AskError {
+    /// Nobody there, or gone meanwhile.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+    /// What came is no answer.
+    #[error("the answer is neither OK nor ERR: {0:?}")]
+    Strange(String),
+}
+
+/// Calls the node at `address` and hands back its answer: what follows `OK`, or what follows `ERR`. All of it
+/// takes `limit` at most.
+///
+/// # Errors
+/// There was no answer, or none that can be read.
+pub fn ask(address: SocketAddr, call: &Call, limit: Duration) -> Result<Result<String, String>, AskError> {
+    let end = Instant::now() + limit;
+    // A time of zero would wait for ever.
+    let left = || end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+    let mut stream = TcpStream::connect_timeout(&address, left())?;
+    stream.set_write_timeout(Some(left()))?;
+    stream.write_all(format!("{call}\n").as_bytes())?;
+    stream.shutdown(Shutdown::Write)?;
+    let mut answer = Vec::new();
+    let mut piece = [0; 16 * 1024];
+    loop {
+        if Instant::now() >= end {
+            return Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into());
+        }
+        stream.set_read_timeout(Some(left()))?;
+        match stream.read(&mut piece)? {
+            0 => break,
+            n => answer.extend_from_slice(piece.get(..n).unwrap_or_default()),
+        }
+        if answer.len() as u64 > LONGEST_ANSWER {
+            return Err(AskError::Strange("longer than any".to_owned()));
+        }
+    }
+    let text = String::from_utf8_lossy(&answer);
+    let text = text.trim_end();
+    let rest = |word: &str| text.strip_prefix(word).filter(|r| r.is_empty() || r.starts_with(' '));
+    match (rest("OK"), rest("ERR")) {
+        (Some(said), _) => Ok(Ok(said.trim_start().to_owned())),
+        (_, Some(why)) => Ok(Err(why.trim_start().to_owned())),
+        _ => Err(AskError::Strange(text.chars().take(80).collect())),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn calls_are_read_as_they_are_written() {
+        let id = || "s-1".to_owned();
+        let all = [
+            Call::Health,
+            Call::Cordon(id()),
+            Call::Uncordon(id()),
+            Call::Quiesce,
+            Call::Resume,
+            Call::Stats,
+        ];
+        for call in all {
+            assert_eq!(Call::parse(call.to_string().as_bytes()), Ok(call));
+        }
+        assert_eq!(Call::parse(b"  uncordon \t s-1 "), Ok(Call::Uncordon(id())));
+    }
+
+    #[test]
+    fn what_is_no_call_is_told_why() {
+        let why = |line: &[u8]| Call::parse(line).unwrap_err();
+        assert_eq!(why(b""), CallError::Empty);
+        assert_eq!(why(b" \t"), CallError::Empty);
+        assert_eq!(why(b"HEALTH"), CallError::Unknown);
+        assert_eq!(why(b"health now"), CallError::TakesNothing("health"));
+        assert_eq!(why(b"cordon"), CallError::NeedsId("cordon"));
+        assert_eq!(why(b"uncordon a b"), CallError::NeedsId("uncordon"));
+        assert_eq!(why(b"quiesce 5"), CallError::TakesNothing("quiesce"));
+        assert_eq!(why(b"cordon \xff"), CallError::Text);
+    }
+
+    #[test]
+    fn an_answer_is_told_from_what_is_none() {
+        let answered = |bytes: &'static [u8]| {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let peer = std::thread::spawn(move || {
+                let (mut stream, _) = listener.accept().unwrap();
+                let mut said = String::new();
+                stream.read_to_string(&mut said).unwrap();
+                stream.write_all(bytes).unwrap();
+                said
+            });
+            let answer = ask(address, &Call::Health, Duration::from_secs(5));
+            assert_eq!(peer.join().unwrap(), "health\n");
+            answer
+        };
+        assert_eq!(answered(b"OK serving\n").unwrap(), Ok("serving".to_owned()));
+        assert_eq!(answered(b"OK\n").unwrap(), Ok(String::new()));
+        assert_eq!(answered(b"ERR no list\n").unwrap(), Err("no list".to_owned()));
+        assert!(matches!(answered(b"OKAY\n"), Err(AskError::Strange(_))));
+        assert!(matches!(answered(b"HTTP/1.1 400 Bad Request\r\n\r\n"), Err(AskError::Strange(_))));
+        assert!(matches!(answered(b""), Err(AskError::Strange(_))));
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,6 +4,8 @@
 //! All times are milliseconds of one monotonic clock with an arbitrary origin, handed in with each event.
 //! A host feeds [`Event`]s in the order they happened and carries out the [`Action`]s in the order given.
 
+use crate::tally::{Look, Refusals, Tally};
+use std::fmt;
 use thiserror::Error;
 
 /// Identity of a backend: any number that is the same at every node, such as a hash of its name.
@@ -434,6 +436,80 @@
     pub prat: Option<f64>,
 }
 
+/// What the decisions have to tell whoever is on call. Written out it is one line.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A backend is congested from here on.
+    Congested {
+        /// Which.
+        backend: BackendId,
+        /// Failures in its window.
+        failures: f64,
+        /// Tries in its window.
+        tries: f64,
+        /// Time to its next trial.
+        pause_ms: f64,
+    },
+    /// A trial was answered: it is live again.
+    Live {
+        /// Which.
+        backend: BackendId,
+        /// Trials that failed before.
+        failed_trials: u32,
+    },
+    /// Requests were stopped lately.
+    Stopped(Box<(Tally, Look)>),
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Note::Congested { backend, failures, tries, pause_ms } => {
+                let id = backend.0;
+                write!(f, "congested {id:016x}: {failures} failures of {tries}, trial in {pause_ms:.0} ms")
+            }
+            Note::Live { backend, failed_trials } => {
+                write!(f, "live {:016x}: trial answered after {failed_trials} failed", backend.0)
+            }
+            Note::Stopped(told) => write!(f, "{}; {}", told.0, told.1),
+        }
+    }
+}
+
+/// What the decisions know, for whoever is on call.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// How the fleet looks from here.
+    pub look: Look,
+    /// Why requests were refused since the start.
+    pub refusals: Refusals,
+    /// The most requests a second that a warm backend was lately seen to serve for this node.
+    pub warm_rate: f64,
+    /// Each backend.
+    pub backends: Vec<BackendFigures>,
+}
+
+/// What the decisions know of one backend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BackendFigures {
+    /// Which.
+    pub backend: BackendId,
+    /// Its zone.
+    pub zone: u16,
+    /// It is sent to, as far as the list goes.
+    pub up: bool,
+    /// When it may be tried again, where it is congested.
+    pub trial_at_ms: Option<f64>,
+    /// Requests of this node that it may have in flight.
+    pub cap: f64,
+    /// Those that it has.
+    pub in_flight: u32,
+    /// It has started lately.
+    pub cold: bool,
+    /// How pressed it is by its reports, 0 to 1.
+    pub pressure: f64,
+}
+
 /// What a node learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -538,6 +614,6 @@
     },
     /// Subscribe to the list, or end that.
     Watch(bool),
-    /// A line for whoever is on call.
-    Log(String),
+    /// A word for whoever is on call.
+    Log(Note),
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,12 +41,16 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+pub mod calls;
+pub mod files;
 pub mod interface;
 mod ledger;
 mod measure;
 mod news;
+pub mod options;
+pub mod platform;
 pub mod policy;
-mod tally;
+pub mod tally;
 mod view;
 pub mod wire;
 
--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -1,6 +1,6 @@
 //! Bodies that are passed on while they come, and the pieces they come in.
 
-use crate::upstream::Place;
+use crate::places::Place;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,9 +1,9 @@
 //! The list of backends: the first one from the configuration, then a watch on discovery.
 
 use crate::body::Outgoing;
-use crate::config::Current;
 use crate::driver::{Driver, Input, Target};
-use crate::log;
+use crate::log::say;
+use crate::rules::Current;
 use crate::socket::Descriptors;
 use crate::upstream::Conn;
 use bytes::Bytes;
@@ -59,7 +59,8 @@
             Ok(target) => targets.push(target),
             Err(field) => {
                 let line = line.to_string();
-                log::line(&format!("discovery: entry skipped, bad {field}: {line:.200}"));
+                let entry = format!("{line:.200}");
+                say!(WARN, "discovery", field, entry = entry.as_str(), "discovery.entry_skipped");
             }
         }
     }
@@ -97,7 +98,7 @@
         // Wall time, which is what the driver's clock counts in.
         ready_at_ms: number("boot_ms", 0.0)?,
     };
-    Ok(Target { entry, address })
+    Ok(Target { entry, address, uid: uid.into() })
 }
 
 /// Waits until discovery moves; for ever where nobody can say so any more.
@@ -164,20 +165,17 @@
                     let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
                     rev = if lost { None } else { Some(listing.rev) };
                     if failing {
-                        log::line("discovery: answers again");
+                        say!(INFO, "discovery", "discovery.recovered");
                         failing = false;
                     }
                     if !listing.targets.is_empty() {
-                        log::line(&format!(
-                            "discovery: version {}, {} {} after {} ms",
-                            listing.rev,
-                            listing.targets.len(),
-                            if listing.all { "entries, all" } else { "changes" },
-                            begun.elapsed().as_millis()
-                        ));
+                        let (version, entries, all) = (listing.rev, listing.targets.len(), listing.all);
+                        let after_ms = begun.elapsed().as_millis() as u64;
+                        say!(INFO, "discovery", version, entries, all, after_ms, "discovery.listed");
                     }
                     // No change is news too where discovery is asked: the call did not fail.
                     if !lost {
+                        driver.list_version(Some(listing.rev));
                         let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
                         driver.take(Input::List(kind, listing.targets));
                     }
@@ -189,8 +187,8 @@
                     conn = None;
                     // Calls that the decisions pace are few: each failure is told.
                     if !failing || mode == Discovery::OnRequest {
-                        let ms = begun.elapsed().as_millis();
-                        log::line(&format!("discovery: no answer after {ms} ms: {e}"));
+                        let (reason, after_ms) = (e.to_string(), begun.elapsed().as_millis() as u64);
+                        say!(WARN, "discovery", after_ms, reason = reason.as_str(), "discovery.failed");
                         failing = true;
                     }
                     if mode == Discovery::OnRequest {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -4,18 +4,20 @@
 //! open. It decides nothing itself.
 
 use crate::body::Upload;
-use crate::config::Rules;
-use crate::log;
+use crate::log::{self, say};
 use crate::peers::Peers;
+use crate::rules::Rules;
 use crate::state::State;
+use crate::stats::{End, Stats};
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use daleturn::Balancer;
 use daleturn::interface::{
-    Action, BackendId, Ended, Entry, Event, Health, ListKind, Memory, Outcome, Reporting, Request,
-    RequestId, Settings,
+    Action, BackendFigures, BackendId, Ended, Entry, Event, Health, ListKind, Memory, Note, Outcome,
+    Reporting, Request, RequestId, Settings,
 };
 use daleturn::wire::stable_hash;
 use hyper::StatusCode;
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -117,12 +119,14 @@
 }
 
 /// One line of discovery's list.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Target {
     /// What the decisions need.
     pub entry: Entry,
     /// Where it listens; one that was removed need not say.
     pub address: Option<SocketAddr>,
+    /// What operators call it.
+    pub uid: Rc<str>,
 }
 
 /// All that can happen to a node.
@@ -181,7 +185,8 @@
 
 struct Open {
     /// Holds the number of the request's class.
-    _rules: Rc<Rules>,
+    rules: Rc<Rules>,
+    class: usize,
     owed: Option<Owed>,
     call: Rc<Call>,
     /// What calls each attempt off; none where it is over.
@@ -199,17 +204,53 @@
 
     /// Tells how a request that was not served went, for whoever follows its id.
     fn tell(&self, answer: &Answer) {
-        log::request(|| {
-            let trace = self.call.headers.get("x-trace-id").and_then(|v| v.to_str().ok()).unwrap_or("?");
-            let class = self.call.headers.get("x-qos").and_then(|v| v.to_str().ok()).unwrap_or("?");
-            let ms = self.taken.elapsed().as_secs_f64() * 1000.0;
-            let mut text = format!("request {trace} {class}: {answer:?} after {ms:.1} ms");
-            for (backend, outcome, ms) in &self.course {
-                text.push_str(&format!("; {:016x} {outcome:?} {ms:.1} ms", backend.0));
-            }
-            text.push_str(&format!("; {} out", self.attempts.iter().flatten().count()));
-            text
-        });
+        if !tracing::event_enabled!(target: "request", tracing::Level::INFO) || !log::admits(log::SAMPLES) {
+            return;
+        }
+        let text = |name: &str| self.call.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("?");
+        let course: Vec<String> = (self.course.iter())
+            .map(|(backend, outcome, ms)| format!("{:016x} {outcome:?} {ms:.1}", backend.0))
+            .collect();
+        tracing::info!(
+            target: "request",
+            trace = text("x-trace-id"),
+            class = text("x-qos"),
+            ?answer,
+            after_ms = (self.taken.elapsed().as_secs_f64() * 1e4).round() / 10.0,
+            course = course.join(", ").as_str(),
+            out = self.attempts.iter().flatten().count(),
+            "request.unserved"
+        );
+    }
+
+    /// How a request counts that is served now.
+    fn served(&self) -> End {
+        let total = self.taken.elapsed();
+        let late = total.as_secs_f64() * 1000.0 > self.rules.settings.aim_ms(self.class);
+        let away = self.course.iter().map(|(_, _, ms)| ms).sum::<f64>().clamp(0.0, 1e9);
+        let through = total.saturating_sub(Duration::from_secs_f64(away / 1000.0));
+        End::Served { late, times: self.call.upload.is_none().then_some((total, through)) }
+    }
+}
+
+/// Says what the decisions have to tell, in an event's form.
+fn tell(core: &Core, note: &Note) {
+    let name = |id: &BackendId| {
+        let listed = core.listed.get(id).map(|l| l.uid.to_string());
+        listed.unwrap_or_else(|| format!("{:016x}", id.0))
+    };
+    match note {
+        Note::Congested { backend, failures, tries, pause_ms } => {
+            let (backend, pause_ms) = (name(backend), pause_ms.round());
+            say!(WARN, "backend", backend, failures, tries, pause_ms, "backend.congested");
+        }
+        Note::Live { backend, failed_trials } => {
+            say!(INFO, "backend", backend = name(backend), failed_trials, "backend.live");
+        }
+        Note::Stopped(told) => {
+            let (counts, look) = (told.0.to_string(), told.1.to_string());
+            say!(INFO, "admission", counts = counts.as_str(), look = look.as_str(), "admission.stopped");
+        }
     }
 }
 
@@ -232,6 +273,7 @@
 
 struct Core {
     balancer: Balancer,
+    stats: Stats,
     open: HashMap<RequestId, Open>,
     places: HashMap<BackendId, Place>,
     /// What discovery lists, whoever is out.
@@ -254,6 +296,7 @@
     messages: Cell<bool>,
     next: Cell<u64>,
     heard: Cell<bool>,
+    version: Cell<Option<u64>>,
 }
 
 impl Driver {
@@ -265,10 +308,12 @@
         peers: Option<Rc<Peers>>,
         state: Rc<State>,
         watch: mpsc::UnboundedSender<bool>,
+        window: Duration,
     ) -> Rc<Driver> {
         Rc::new(Driver {
             core: RefCell::new(Core {
                 balancer,
+                stats: Stats::new(window),
                 open: HashMap::new(),
                 places: HashMap::new(),
                 listed: HashMap::new(),
@@ -284,6 +329,7 @@
             messages: Cell::new(rules.settings.peer_messages),
             next: Cell::new(0),
             heard: Cell::new(false),
+            version: Cell::new(None),
         })
     }
 
@@ -313,6 +359,88 @@
         self.core.borrow().open.len()
     }
 
+    /// The list that is known has this version.
+    pub fn list_version(&self, version: Option<u64>) {
+        self.version.set(version);
+    }
+
+    /// Times in the figures are kept for `window` from here on.
+    pub fn retune_stats(&self, window: Duration) {
+        self.core.borrow_mut().stats.retune(window);
+    }
+
+    /// A request of a class was refused before the decisions heard of it.
+    pub fn turned_away(&self, class: Option<&str>) {
+        self.core.borrow_mut().stats.turned_away(class);
+    }
+
+    /// What of the figures is known here.
+    pub fn figures(&self, rules: &Rules) -> Value {
+        let now = self.clock.now_ms();
+        let core = &mut *self.core.borrow_mut();
+        let figures = core.balancer.figures(now);
+        let known: HashMap<BackendId, &BackendFigures> =
+            figures.backends.iter().map(|b| (b.backend, b)).collect();
+        let zone_name = |zone: u16| rules.names.zone_name(zone).unwrap_or("?").to_owned();
+        let mut zones: BTreeMap<String, [u64; 7]> = BTreeMap::new();
+        // Whoever is listed, or is out by the operators' word: of one that drains the decisions know little.
+        let mut names: BTreeMap<&str, BackendId> =
+            core.listed.iter().map(|(id, target)| (&*target.uid, *id)).collect();
+        names.extend(core.cordoned.iter().map(|(id, uid)| (uid.as_str(), *id)));
+        let mut backends = Vec::with_capacity(names.len());
+        for (uid, id) in names {
+            let (sent, done, failed) = core.stats.of_backend(id);
+            let (listed, b) = (core.listed.get(&id), known.get(&id));
+            let state = match listed.map(|l| l.entry.health) {
+                _ if core.cordoned.contains_key(&id) => "cordoned",
+                Some(Health::Up) => "up",
+                Some(Health::Draining) => "draining",
+                Some(Health::Gone) | None => "gone",
+            };
+            let up = state == "up";
+            let trial_in_ms = b.and_then(|b| b.trial_at_ms).map(|at| (at - now).max(0.0).round());
+            let (congested, cold) = (trial_in_ms.is_some(), b.is_some_and(|b| b.cold));
+            let in_flight = b.map_or(0, |b| b.in_flight);
+            let zone = listed.map_or_else(|| "?".to_owned(), |l| zone_name(l.entry.zone));
+            let sums = zones.entry(zone.clone()).or_default();
+            let own = [
+                1,
+                u64::from(up),
+                u64::from(up && congested),
+                u64::from(up && cold),
+                u64::from(in_flight),
+                sent,
+                failed,
+            ];
+            sums.iter_mut().zip(own).for_each(|(sum, n)| *sum += n);
+            let hundredths = |v: f64| (v * 100.0).round() / 100.0;
+            backends.push(json!({
+                "id": uid, "zone": zone, "state": state, "verdict": if congested { "congested" } else { "live" },
+                "trial_in_ms": trial_in_ms, "cap": b.map(|b| hundredths(b.cap)), "in_flight": in_flight,
+                "cold": cold, "pressure": b.map(|b| hundredths(b.pressure)), "sent": sent, "done": done,
+                "failed": failed,
+            }));
+        }
+        let own_zone = rules.settings.zone.map(zone_name);
+        let zones: Vec<Value> = (zones.into_iter())
+            .map(|(zone, [listed, up, congested, cold, in_flight, sent, failed])| {
+                json!({"own": own_zone.as_ref() == Some(&zone), "zone": zone, "backends": listed, "up": up,
+                       "congested": congested, "cold": cold, "in_flight": in_flight, "sent": sent, "failed": failed})
+            })
+            .collect();
+        let [level, room, no_backend] = figures.refusals.stopped;
+        let look = figures.look;
+        let mut json = core.stats.json();
+        json["open"] = core.open.len().into();
+        json["refused"] = json!({"level": level, "room": room, "no_backend": no_backend,
+            "given_up": figures.refusals.given_up, "node_full": core.stats.away()});
+        json["admission"] = json!({"level": look.level, "strain": look.strain, "pressure": look.pressure});
+        json["list"] = json!({"version": self.version.get(), "backends": core.listed.len()});
+        json["backends"] = backends.into();
+        json["zones"] = zones.into();
+        json
+    }
+
     /// Fails all that is owed, for a node that has no more time.
     pub fn end_all(self: &Rc<Self>) {
         let ids: Vec<RequestId> = self.core.borrow().open.keys().copied().collect();
@@ -351,7 +479,7 @@
             out.chain(back).collect()
         };
         if !changes.is_empty() {
-            log::line(&format!("upgrade: by the other process's word {}", changes.join(", ")));
+            say!(INFO, "upgrade", changes = changes.join(", ").as_str(), "upgrade.operators_word");
             self.take(Input::Cordoned(cordoned));
         }
     }
@@ -437,10 +565,12 @@
                 // Dropping the handle is the call: the attempt closes its connection and reports.
                 drop(off.and_then(|a| a.as_mut()).map(|a| std::mem::replace(a, oneshot::channel().0)));
             }
-            Action::Refuse { id, retry_after_ms } => core.settle(id, Answer::Refused { retry_after_ms }),
+            Action::Refuse { id, retry_after_ms } => {
+                core.settle(id, Answer::Refused { retry_after_ms }, false)
+            }
             Action::Fail(id) => {
                 let rejected = core.open.get(&id).and_then(|o| o.rejected);
-                core.settle(id, rejected.map_or(Answer::Failed, Answer::Rejected));
+                core.settle(id, rejected.map_or(Answer::Failed, Answer::Rejected), false);
             }
             Action::Timer { token, at_ms } => {
                 let driver = self.clone();
@@ -459,7 +589,7 @@
             }
             // Discovery may have ended with the node.
             Action::Watch(on) => drop(self.watch.send(on)),
-            Action::Log(text) => log::line(&text),
+            Action::Log(note) => tell(core, &note),
         }
     }
 
@@ -487,6 +617,7 @@
             report.finish = Some(Outcome::Skipped.into());
             return;
         }
+        core.stats.sent(backend);
         let timeout = Duration::from_secs_f64(timeout_ms.clamp(0.0, 1e9) / 1000.0);
         let errand = Errand { backend, address: place.address, call: open.call.clone(), timeout };
         let driver = self.clone();
@@ -578,7 +709,7 @@
                     let id = &t.entry.backend;
                     before.contains_key(id) != self.cordoned.contains_key(id)
                 });
-                let moved: Vec<Target> = moved.copied().collect();
+                let moved: Vec<Target> = moved.cloned().collect();
                 if moved.is_empty() {
                     return None;
                 }
@@ -586,8 +717,10 @@
             }
             Input::Arrived(request, rules, call, owed) => {
                 let (attempts, course) = (Vec::new(), Vec::new());
+                self.stats.asked(rules.names.class_name(request.class));
                 let open = Open {
-                    _rules: rules,
+                    rules,
+                    class: request.class,
                     owed: Some(owed),
                     call,
                     attempts,
@@ -601,7 +734,7 @@
             Input::Left(id) => {
                 // After the answer this is no news.
                 self.open.get(&id)?.owed.as_ref()?;
-                self.settle(id, Answer::Failed);
+                self.settle(id, Answer::Failed, true);
                 Event::Left(id)
             }
             Input::Ended { id, attempt, backend, finish, elapsed_ms } => {
@@ -609,9 +742,11 @@
                 open.attempts.get_mut(attempt as usize)?.take()?;
                 open.course.push((backend, finish.outcome, elapsed_ms));
                 open.rejected = finish.rejected;
+                self.stats.attempt_ended(backend, finish.outcome);
                 if let Some(reply) = finish.reply
                     && let Some(owed) = open.owed.take()
                 {
+                    self.stats.ended(open.rules.names.class_name(open.class), open.served());
                     owed.settle(Answer::Served(reply));
                 }
                 let (last, outcome, load) = (open.owed.is_none(), finish.outcome, finish.load);
@@ -626,6 +761,8 @@
                 if let Some(reply) = reply
                     && let Some(owed) = open.owed.take()
                 {
+                    open.course.push((backend, Outcome::Done, elapsed_ms));
+                    self.stats.ended(open.rules.names.class_name(open.class), open.served());
                     owed.settle(Answer::Served(reply));
                 }
                 Event::Started { id, attempt, backend, elapsed_ms }
@@ -638,10 +775,18 @@
         })
     }
 
-    fn settle(&mut self, id: RequestId, answer: Answer) {
+    /// `left`: it ends with its client, not by the decisions.
+    fn settle(&mut self, id: RequestId, answer: Answer, left: bool) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(owed) = open.owed.take() {
             open.tell(&answer);
+            let end = match &answer {
+                Answer::Refused { .. } => End::Refused,
+                Answer::Rejected(_) => End::Rejected,
+                Answer::Failed if left => End::Left,
+                Answer::Failed | Answer::Served(_) => End::Failed,
+            };
+            self.stats.ended(open.rules.names.class_name(open.class), end);
             owed.settle(answer);
         }
         if open.over() {
@@ -657,9 +802,11 @@
             if target.entry.health == Health::Gone {
                 self.listed.remove(&target.entry.backend);
             } else {
-                self.listed.insert(target.entry.backend, *target);
+                self.listed.insert(target.entry.backend, target.clone());
             }
         }
+        let listed = &self.listed;
+        self.stats.keep(|id| listed.contains_key(&id));
     }
 
     /// Takes in a list as the operators' word leaves it: who is out counts as draining.
@@ -680,7 +827,7 @@
                 place.up = false;
             }
         }
-        for Target { entry, address } in targets {
+        for Target { entry, address, .. } in targets {
             let up = entry.health == Health::Up;
             match (self.places.get_mut(&entry.backend), address) {
                 (Some(place), address) => {
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,9 +1,9 @@
 //! Two processes of one node, while one takes over from the other: who lives, and which part of the node's
 //! descriptors and places for long transfers each may use.
 
-use crate::config::Current;
 use crate::driver::Driver;
-use crate::log;
+use crate::log::say;
+use crate::rules::Current;
 use crate::socket::Descriptors;
 use crate::state::{Record, Stage, State};
 use crate::upstream::Upstream;
@@ -131,7 +131,7 @@
         if !self.others.borrow().is_empty()
             && let Some(memory) = self.state.left(&self.rules.get().names)
         {
-            log::line(&format!("upgrade: knows {} backends from before", memory.backends.len()));
+            say!(INFO, "upgrade", backends = memory.backends.len(), "upgrade.remembers");
             self.driver.remember(memory);
         }
         self.look();
@@ -167,14 +167,14 @@
         let stopping = self.stage.get() == Stage::Stopping;
         let limit = self.pool.limit(role, stopping, limit, used);
         self.descriptors.set_limit(limit);
-        self.upstream.halve(role != Role::Alone);
+        self.upstream.places.halve(role != Role::Alone);
         if before != now {
             let role = match role {
                 Role::Alone => "alone",
-                Role::Older => "the old process of two",
-                Role::Newer(_) => "the new process of two",
+                Role::Older => "old of two",
+                Role::Newer(_) => "new of two",
             };
-            log::line(&format!("upgrade: this is {role}; {limit} descriptors, {used} in use"));
+            say!(INFO, "upgrade", role, descriptors = limit, used, "upgrade.role");
         }
         let starting = self.others.borrow().iter().any(|o| o.stage == Stage::Starting);
         if role == Role::Older && starting && self.stage.get() == Stage::Serving {
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -1,7 +1,6 @@
 //! One node: the decisions of the crate `daleturn` on real sockets.
 
 mod body;
-mod config;
 mod discovery;
 mod driver;
 mod framing;
@@ -9,23 +8,29 @@
 mod log;
 mod operator;
 mod peers;
+mod places;
+mod rules;
 mod server;
 mod socket;
 mod state;
+mod stats;
 mod upstream;
 
-use crate::config::{Config, Current, Reload};
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
 use crate::handover::Handover;
+use crate::log::{Log, say};
 use crate::operator::Operator;
 use crate::peers::Peers;
+use crate::rules::Current;
 use crate::server::Server;
 use crate::socket::{Descriptors, UNCOUNTED};
 use crate::state::State;
 use crate::upstream::Upstream;
 use daleturn::Balancer;
 use daleturn::interface::{Discovery, ListKind};
+use daleturn::options::Options;
+use daleturn::platform::{Config, Reload};
 use serde_json::Value;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -65,6 +70,7 @@
     upstream: Rc<Upstream>,
     peers: Option<Rc<Peers>>,
     discovery: watch::Sender<(SocketAddr, Discovery)>,
+    log: Rc<Log>,
 }
 
 impl Reloading {
@@ -79,14 +85,16 @@
             Ok(Err(e)) => e.to_string(),
             Err(e) => e.to_string(),
         };
-        log::line(&format!("configuration not taken, the running one holds: {turned_down}"));
+        say!(ERROR, "config", reason = turned_down.as_str(), "config.refused");
         // The reader is done with it.
         Arc::unwrap_or_clone(running)
     }
 
     fn take(&self, read: Reload) -> Value {
-        let Reload { file, discovery, settings, names } = read;
-        let rules = self.rules.succeed(settings, names);
+        let Reload { file, discovery, settings, names, digest, options } = read;
+        let rules = self.rules.succeed(settings, names, digest);
+        self.log.retune(&options.log);
+        self.driver.retune_stats(window(&options));
         let settings = &rules.settings;
         self.driver.retune(&rules);
         self.upstream.retune(settings.connect_timeout_ms, settings.conn_idle_ms);
@@ -95,12 +103,18 @@
         }
         let told = (discovery, settings.discovery);
         self.discovery.send_if_modified(|known| std::mem::replace(known, told) != told);
-        log::line(&format!("configuration taken: discovery is {discovery}, settings: {settings:?}"));
+        let taken = rules.taken;
+        say!(INFO, "config", taken, %discovery, ?settings, "config.taken");
         file
     }
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+fn window(options: &Options) -> Duration {
+    Duration::from_secs(options.stats.window_s.into())
+}
+
+async fn run(config: Config, options: Options, log: Rc<Log>) -> Result<(), Box<dyn Error>> {
+    let started = Instant::now();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = bind(config.listen, true).map_err(|e| format!("listen: {}: {e}", config.listen))?;
@@ -112,7 +126,7 @@
         None => None,
     };
     let state = Rc::new(State::open(config.listen));
-    let rules = Current::new(config.settings, config.names);
+    let rules = Current::new(config.settings, config.names, config.digest);
     let settings = rules.get().settings.clone();
     let reserved = if operators.is_some() { operator::DESCRIPTORS } else { 0 };
     let descriptors = Descriptors::new(config.sockets.saturating_sub(reserved));
@@ -132,10 +146,19 @@
     };
     let balancer = Balancer::new(settings.clone(), config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(balancer, &rules.get(), upstream.clone(), peers.clone(), state.clone(), wish);
+    let driver = Driver::new(
+        balancer,
+        &rules.get(),
+        upstream.clone(),
+        peers.clone(),
+        state.clone(),
+        wish,
+        window(&options),
+    );
     driver.take(Input::Start);
     let known = discovery::listing(&config.known, &rules.get().names);
     let version = known.as_ref().and_then(discovery::Listing::complete);
+    driver.list_version(version);
     if let Some(known) = known {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
@@ -146,6 +169,7 @@
         upstream: upstream.clone(),
         peers: peers.clone(),
         discovery,
+        log: log.clone(),
     };
     spawn_local(async move {
         let mut running = config.file;
@@ -158,24 +182,36 @@
     spawn_local(watch.run(driver.clone()));
     if let Some(peers) = peers.clone() {
         let driver = driver.clone();
-        spawn_local(async move { peers.listen(&driver).await });
+        spawn_local(async move { peers.listen(|from, bytes| driver.message(from, bytes)).await });
     }
-    let sweeping = upstream.clone();
+    let (sweeping, told) = (upstream.clone(), log.clone());
     spawn_local(async move {
         let mut turn = tokio::time::interval(SWEEP);
         turn.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             turn.tick().await;
             sweeping.sweep();
+            told.tell_dropped();
         }
     });
     let server = Server::new(driver.clone(), upstream.clone(), rules.clone(), descriptors.clone());
     for uid in state.cordoned().values() {
-        log::line(&format!("{uid} is out by an operator's word, given before this start"));
+        say!(INFO, "operator", backend = uid.as_str(), "operator.still_out");
     }
     if let Some(listener) = operators {
         let descriptors = descriptors.clone();
-        let operator = Operator { driver: driver.clone(), server: server.clone(), descriptors };
+        let operator = Operator {
+            driver: driver.clone(),
+            server: server.clone(),
+            descriptors,
+            rules: rules.clone(),
+            upstream: upstream.clone(),
+            peers: peers.clone(),
+            log,
+            name: config.name.clone(),
+            started,
+            memory: config.memory,
+        };
         spawn_local(Rc::new(operator).listen(listener));
     }
     let handover = Handover::new(
@@ -194,8 +230,7 @@
     }
     let listener = listener.listen(BACKLOG).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     handover.serves();
-    log::line(&format!("{} serves on {}", config.name, config.listen));
-    log::line(&format!("settings: {settings:?}"));
+    say!(INFO, "node", name = config.name.as_str(), listen = %config.listen, ?settings, "node.serving");
     let accepting = {
         let server = server.clone();
         spawn_local(async move { server.accept(listener).await })
@@ -205,11 +240,7 @@
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
     let end = Instant::now() + longest + LAST_ANSWERS;
     let successor = handover.stops();
-    log::line(if successor {
-        "told to stop, another process takes the clients: answers what is there, then ends"
-    } else {
-        "told to stop: answers what comes and what is there, then ends"
-    });
+    say!(INFO, "node", successor, "node.stopping");
     server.stop(successor);
     if let Some(peers) = peers.filter(|_| successor) {
         peers.leave();
@@ -223,26 +254,23 @@
     Ok(())
 }
 
+fn serve(log: &Rc<Log>, options: Options) -> Result<(), (u8, String)> {
+    let config = Config::load().map_err(|e| (2, e.to_string()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| (1, format!("no runtime: {e}")))?;
+    let run = run(config, options, log.clone());
+    LocalSet::new().block_on(&runtime, run).map_err(|e| (1, e.to_string()))
+}
+
 fn main() -> ExitCode {
-    let config = match Config::load() {
-        Ok(config) => config,
-        Err(e) => {
-            log::line(&format!("configuration: {e}"));
-            return ExitCode::from(2);
-        }
-    };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            log::line(&format!("no runtime: {e}"));
-            return ExitCode::FAILURE;
-        }
-    };
-    match LocalSet::new().block_on(&runtime, run(config)) {
+    let options = Options::load();
+    let log =
+        Rc::new(Log::open(&options.as_ref().map_or_else(|_| Options::default().log, |o| o.log.clone())));
+    match options.map_err(|e| (2, e)).and_then(|options| serve(&log, options)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            log::line(&e.to_string());
-            ExitCode::FAILURE
+        Err((code, reason)) => {
+            say!(ERROR, "node", reason = reason.as_str(), "node.failed");
+            ExitCode::from(code)
         }
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,7 +1,6 @@
 //! Datagrams between nodes.
 
-use crate::driver::Driver;
-use crate::log;
+use crate::log::say;
 use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -21,6 +20,8 @@
     nodes: Vec<SocketAddr>,
     all: Option<SocketAddr>,
     own: Cell<u32>,
+    sent: Cell<u64>,
+    received: Cell<u64>,
 }
 
 impl Peers {
@@ -43,6 +44,8 @@
             nodes,
             all,
             own: Cell::new(own),
+            sent: Cell::new(0),
+            received: Cell::new(0),
         })
     }
 
@@ -60,7 +63,7 @@
     /// Sends to one node or to all others. A message that cannot go is lost, as any may be.
     pub fn send(&self, to: Option<u32>, bytes: &[u8]) {
         if bytes.len() > LONGEST {
-            log::line(&format!("message of {} bytes not sent", bytes.len()));
+            say!(ERROR, "peers", bytes = bytes.len(), "peers.too_long");
             return;
         }
         let node = |n: u32| self.nodes.get(n as usize).copied();
@@ -74,14 +77,22 @@
         };
         let Some(socket) = self.socket.borrow().clone() else { return };
         for target in targets {
-            let _ = socket.try_send_to(bytes, target);
+            if socket.try_send_to(bytes, target).is_ok() {
+                self.sent.set(self.sent.get() + 1);
+            }
         }
     }
 
+    /// Datagrams sent and received so far.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.sent.get(), self.received.get())
+    }
+
     /// Hands on what arrives, until the address is left.
-    pub async fn listen(&self, driver: &Rc<Driver>) {
+    pub async fn listen(&self, heard: impl Fn(u32, Vec<u8>)) {
         while let Some((from, bytes)) = self.receive().await {
-            driver.message(from, bytes);
+            self.received.set(self.received.get() + 1);
+            heard(from, bytes);
         }
     }
 
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,9 +1,9 @@
 //! The client side: connections, what they ask, and the answers they get.
 
 use crate::body::{Download, LONGEST_BODY, Upload, drain};
-use crate::config::{Current, Rules};
 use crate::driver::{Answer, Driver};
-use crate::log;
+use crate::log::say;
+use crate::rules::{Current, Rules};
 use crate::socket::{Descriptors, Slot, Socket};
 use crate::upstream::{BODY_LIMIT, BUFFER, Call, EXPIRES, Reply, ReplyBody, Upstream};
 use bytes::{Bytes, BytesMut};
@@ -294,7 +294,7 @@
                 Err(e) => {
                     // Out of descriptors, or a client that has gone already: neither may end the node or
                     // keep it busy.
-                    log::line(&format!("accept: {e}"));
+                    say!(WARN, "clients", reason = e.to_string().as_str(), "clients.accept_failed");
                     self.descriptors.relieve();
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -348,6 +348,21 @@
         }
     }
 
+    /// Clients that are connected.
+    pub fn clients(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
+    /// What it is about, in a word.
+    pub fn mode(&self) -> &'static str {
+        match self.mode.get() {
+            Mode::Starting => "starting",
+            Mode::Serving => "serving",
+            Mode::Quiesced => "quiesced",
+            Mode::Stopping(_) | Mode::Succeeded => "stopping",
+        }
+    }
+
     /// Whether clients are taken, in words.
     pub fn health(&self) -> Result<&'static str, &'static str> {
         match self.mode.get() {
@@ -482,6 +497,7 @@
             busy.0.carries_long();
         }
         let answer = if self.driver.open() >= rules.settings.open_cap as usize {
+            self.driver.turned_away(rules.names.class_name(asked.class));
             Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }
         } else {
             let margin = MARGIN - LAST_MARGIN;
@@ -555,12 +571,13 @@
             .min(LONGEST_WAIT);
         let (body, upload) = match collect(client, arrived, body).await {
             Collected::Whole(body) => (body, None),
-            Collected::Long(first, rest) => match self.upstream.place(PLACE_WAIT).await {
+            Collected::Long(first, rest) => match self.upstream.places.take(PLACE_WAIT).await {
                 Some(place) => {
                     let length = first.len();
                     (first, Some(Upload::new(rest, length, place)))
                 }
                 None => {
+                    self.driver.turned_away(rules.names.class_name(class));
                     spawn_local(drain(rest, DRAIN_TIME));
                     return Err(whole(Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }));
                 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Each file is written whole and renamed into place. One that is absent, torn or strange counts as none.
 
-use crate::log;
+use crate::log::say;
 use daleturn::interface::{BackendId, Known, Memory};
 use daleturn::wire::{Names, stable_hash};
 use serde_json::{Value, json};
@@ -81,7 +81,7 @@
     /// The directory of the node that clients reach at `listen`; made where it is missing.
     pub fn open(listen: SocketAddr) -> State {
         let Some(tmp) = std::env::var_os("TMPDIR").filter(|t| !t.is_empty()) else {
-            log::line("TMPDIR is not set: nothing outlives this process");
+            say!(WARN, "state", "state.unset");
             return State::at(None, std::process::id());
         };
         State::open_in(Path::new(&tmp), listen, std::process::id())
@@ -99,7 +99,7 @@
         match fs::create_dir_all(&dir).and_then(|()| lock(&dir, pid)) {
             Ok(alive) => State { _alive: Some(alive), ..State::at(Some(dir), pid) },
             Err(e) => {
-                log::line(&format!("TMPDIR cannot be written, nothing outlives this process: {e}"));
+                say!(WARN, "state", reason = e.to_string().as_str(), "state.unwritable");
                 State::at(None, pid)
             }
         }
@@ -115,7 +115,7 @@
         if let Some(dir) = &self.dir
             && let Err(e) = write_whole(dir, &format!("{RECORD}{}", self.pid), record.write().as_bytes())
         {
-            log::line(&format!("TMPDIR: {e}"));
+            say!(WARN, "state", reason = e.to_string().as_str(), "state.failed");
         }
     }
 
@@ -161,7 +161,7 @@
             .collect();
         let text = json!({"warm_rate": memory.warm_rate, "backends": backends, "classes": classes});
         if let Err(e) = write_whole(dir, MEMORY, text.to_string().as_bytes()) {
-            log::line(&format!("TMPDIR: {e}"));
+            say!(WARN, "state", reason = e.to_string().as_str(), "state.failed");
         }
     }
 
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,295 @@
+//! What the product adds to the platform's configuration: one TOML file, named by `DALETURN_CONFIG`. Without it
+//! all that is new is off and the rest has the defaults that stand here.
+//!
+//! ```
+//! use daleturn::options::{Format, Options};
+//!
+//! let options = Options::parse("[log]\nformat = \"json\"\n")?;
+//! assert_eq!(options.log.format, Format::Json);
+//! assert_eq!(options.stats, Options::default().stats);
+//!
+//! // An error names the line and the key.
+//! let wrong = Options::parse("[log]\n\nlines_per_second = 0\n").unwrap_err();
+//! assert!(wrong.to_string().starts_with("line 3: log.lines_per_second: "), "{wrong}");
+//! # Ok::<(), daleturn::options::OptionsError>(())
+//! ```
+
+use crate::files::{FileError, read_text};
+use serde::{Deserialize, Deserializer, Serialize};
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::path::Path;
+use thiserror::Error;
+use toml::de::{DeTable, DeValue};
+
+/// The variable that names the file.
+pub const VARIABLE: &str = "DALETURN_CONFIG";
+/// A longer file is none of ours.
+const LONGEST: u64 = 1024 * 1024;
+
+/// All that the file may hold.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Options {
+    /// What is logged, and how.
+    pub log: Log,
+    /// The figures of the call `stats`.
+    pub stats: Stats,
+}
+
+/// `[log]`.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// How a line is written.
+    pub format: Format,
+    /// What is written at all.
+    pub level: Level,
+    /// The same for single targets: the word before the point of an event's name.
+    pub targets: BTreeMap<String, Level>,
+    /// Lines in one second, but for those of the target `request`.
+    #[serde(deserialize_with = "within::<_, 1, 1000>")]
+    pub lines_per_second: u32,
+    /// Lines of the target `request` in one second: samples, which must not crowd out the rest.
+    #[serde(deserialize_with = "within::<_, 0, 1000>")]
+    pub requests_per_second: u32,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log {
+            format: Format::Text,
+            level: Level::Info,
+            targets: BTreeMap::new(),
+            lines_per_second: 20,
+            requests_per_second: 4,
+        }
+    }
+}
+
+/// How a line of the log is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// Time, level, name and `field=value`.
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// From which level on an event is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// What keeps the node from its work.
+    Error,
+    /// What somebody should look at.
+    Warn,
+    /// What changes.
+    Info,
+    /// More.
+    Debug,
+    /// All.
+    Trace,
+}
+
+/// `[stats]`.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Stats {
+    /// Times are those of the last window or two of this many seconds.
+    #[serde(deserialize_with = "within::<_, 1, 3600>")]
+    pub window_s: u32,
+}
+
+impl Default for Stats {
+    fn default() -> Stats {
+        Stats { window_s: 30 }
+    }
+}
+
+/// The first key that holds something else where a table belongs: an array would be read as its values in turn.
+fn not_a_table(at: &str, content: &DeTable<'_>, known: &toml::Table) -> Option<(Range<usize>, String)> {
+    content.iter().find_map(|(key, value)| {
+        let known = known.get(key.get_ref().as_ref())?.as_table()?;
+        let path = format!("{at}{}", key.get_ref());
+        match value.get_ref() {
+            DeValue::Table(table) => not_a_table(&format!("{path}."), table, known),
+            _ => Some((key.span(), path)),
+        }
+    })
+}
+
+fn within<'de, D: Deserializer<'de>, const LEAST: u32, const MOST: u32>(from: D) -> Result<u32, D::Error> {
+    let value = i64::deserialize(from)?;
+    let fits = u32::try_from(value).ok().filter(|v| (LEAST..=MOST).contains(v));
+    fits.ok_or_else(|| serde::de::Error::custom(format!("{value} is not within {LEAST} to {MOST}")))
+}
+
+/// Why a file is not taken.
+#[derive(Debug, Error)]
+pub enum OptionsError {
+    /// It cannot be read.
+    #[error(transparent)]
+    File(#[from] FileError),
+    /// It is no TOML, or says what cannot be.
+    #[error("line {line}: {}{reason}", if .key.is_empty() { String::new() } else { format!("{key}: ") })]
+    Content {
+        /// Where.
+        line: usize,
+        /// At which key, as far as that was reached.
+        key: String,
+        /// Why.
+        reason: String,
+    },
+}
+
+impl Options {
+    /// Reads the file that `DALETURN_CONFIG` names; the defaults where it names none.
+    ///
+    /// # Errors
+    /// The file's, with its name.
+    pub fn load() -> Result<Options, String> {
+        match std::env::var_os(VARIABLE).filter(|p| !p.is_empty()) {
+            None => Ok(Options::default()),
+            Some(path) => Options::read(Path::new(&path))
+                .map_err(|e| format!("{VARIABLE}: {}: {e}", Path::new(&path).display())),
+        }
+    }
+
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// It cannot be read, is no TOML, has a key that nobody knows or one of another type or range.
+    pub fn read(path: &Path) -> Result<Options, OptionsError> {
+        Options::parse(&read_text(path, LONGEST)?)
+    }
+
+    /// Reads a file's text.
+    ///
+    /// # Errors
+    /// As above.
+    pub fn parse(text: &str) -> Result<Options, OptionsError> {
+        let wrong = |key: String, e: &toml::de::Error| {
+            let before = text.get(..e.span().map_or(0, |s| s.start)).unwrap_or_default();
+            let line = before.matches('\n').count() + 1;
+            let reason = e.message().split_whitespace().collect::<Vec<_>>().join(" ");
+            let key = if key == "." { String::new() } else { key };
+            OptionsError::Content { line, key, reason }
+        };
+        let parsed = DeTable::parse(text).map_err(|e| wrong(String::new(), &e))?;
+        let known = toml::Table::try_from(Options::default()).unwrap_or_default();
+        if let Some((span, key)) = not_a_table("", parsed.get_ref(), &known) {
+            let line = text.get(..span.start).unwrap_or_default().matches('\n').count() + 1;
+            return Err(OptionsError::Content { line, key, reason: "not a table".to_owned() });
+        }
+        let content = toml::Deserializer::from(parsed);
+        serde_path_to_error::deserialize(content).map_err(|e| wrong(e.path().to_string(), e.inner()))
+    }
+}
+
+/// A key of the file, for people.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Key {
+    /// Its path.
+    pub key: &'static str,
+    /// What it counts in, or what it may be.
+    pub unit: &'static str,
+    /// What it is for.
+    pub about: &'static str,
+}
+
+/// Every key that the file may hold.
+pub const KEYS: [Key; 6] = [
+    Key { key: "log.format", unit: "text | json", about: "how a line of the log is written" },
+    Key {
+        key: "log.level",
+        unit: "off | error | warn | info | debug | trace",
+        about: "from which level on events are written",
+    },
+    Key {
+        key: "log.targets",
+        unit: "table of levels",
+        about: "the same for single targets, such as discovery = \"debug\"",
+    },
+    Key {
+        key: "log.lines_per_second",
+        unit: "lines, 1 to 1000",
+        about: "most lines in a second, but for target request",
+    },
+    Key {
+        key: "log.requests_per_second",
+        unit: "lines, 0 to 1000",
+        about: "most lines in a second of target request, which are samples",
+    },
+    Key {
+        key: "stats.window_s",
+        unit: "seconds, 1 to 3600",
+        about: "times that stats shows are of the last one or two such windows",
+    },
+];
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn why(text: &str) -> String {
+        Options::parse(text).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn an_empty_file_is_the_defaults() {
+        for text in ["", "\n", "# nothing\n", "[log]\n", "[log]\n[log.targets]\n"] {
+            assert_eq!(Options::parse(text).unwrap(), Options::default(), "{text:?}");
+        }
+    }
+
+    #[test]
+    fn an_error_names_the_line_and_the_key() {
+        assert_eq!(
+            why("[log]\nlevle = \"info\"\n"),
+            "line 2: log.levle: unknown field `levle`, expected one of `format`, `level`, `targets`, \
+             `lines_per_second`, `requests_per_second`"
+        );
+        assert!(why("[lgo]\n").starts_with("line 1: lgo: unknown field"), "{}", why("[lgo]\n"));
+        assert!(
+            why("[log]\nlevel = 5\n").starts_with("line 2: log.level: "),
+            "{}",
+            why("[log]\nlevel = 5\n")
+        );
+        assert!(
+            why("\n[log.targets]\na = \"lod\"\n").starts_with("line 3: log.targets.a: unknown variant")
+        );
+        assert_eq!(why("[stats]\nwindow_s = 0"), "line 2: stats.window_s: 0 is not within 1 to 3600");
+        assert_eq!(why("[stats]\nwindow_s = -9"), "line 2: stats.window_s: -9 is not within 1 to 3600");
+        assert!(why("[log]\nlevel = \"info\"\nlevel = \"warn\"\n").starts_with("line 3: "), "a key twice");
+        assert!(why("[log]\nlevel = \"in").starts_with("line 2: "), "cut short");
+        assert!(why("x\0y").starts_with("line 1: "));
+        for text in ["[log", "log", "log = 5", "[[log]]", "stats = []"] {
+            let why = why(text);
+            assert!(why.starts_with("line 1: ") && !why.contains('\n'), "{text}: {why}");
+        }
+    }
+
+    #[test]
+    fn every_key_is_told_to_people_and_no_other() {
+        fn walk(at: &str, value: &toml::Value, keys: &mut Vec<String>) {
+            match value.as_table().filter(|_| at != "log.targets") {
+                None => keys.push(at.to_owned()),
+                Some(table) => {
+                    for (key, value) in table {
+                        walk(&if at.is_empty() { key.clone() } else { format!("{at}.{key}") }, value, keys);
+                    }
+                }
+            }
+        }
+        let mut keys = Vec::new();
+        walk("", &toml::Value::try_from(Options::default()).unwrap(), &mut keys);
+        let mut told: Vec<&str> = KEYS.iter().map(|k| k.key).collect();
+        told.sort_unstable();
+        keys.sort_unstable();
+        assert_eq!(told, keys);
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,7 +14,9 @@
 mod refusal;
 mod requests;
 
-use crate::interface::{Action, BackendId, Discovery, Event, Outcome, RequestId, Settings, SettingsError};
+use crate::interface::{
+    Action, BackendId, Discovery, Event, Note, Outcome, RequestId, Settings, SettingsError,
+};
 use crate::ledger::Open;
 use crate::measure::{KeyCounts, Learned, Peak, Pressure};
 use crate::news::News;
@@ -47,7 +49,7 @@
     cold_tokens: f64,
     pub(crate) record: Record,
     pub(crate) cap: Cap,
-    load: Pressure,
+    pub(crate) load: Pressure,
 }
 
 /// The decisions of one node. Feed it events, carry out its actions.
@@ -63,7 +65,7 @@
     pub(crate) learned: Vec<Learned>,
     keys: KeyCounts,
     pub(crate) admission: Admission,
-    tally: Tally,
+    pub(crate) tally: Tally,
     /// Share of recent attempts, over all backends, that failed to connect or answer.
     fleet_failing: f64,
     /// Attempts that are out and not answered yet.
@@ -197,6 +199,6 @@
     /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
     fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
         let Some(tally) = self.tally.take(now) else { return };
-        out.push(Action::Log(tally.line(&self.look(now))));
+        out.push(Action::Log(Note::Stopped(Box::new((tally, self.look(now))))));
     }
 }
--- a/src/policy/record.rs
+++ b/src/policy/record.rs
@@ -2,7 +2,7 @@
 //! the trials that end it. It knows outcomes, not requests.
 
 use super::Balancer;
-use crate::interface::Action;
+use crate::interface::{Action, Note};
 use crate::measure::Window;
 use crate::news::News;
 
@@ -71,9 +71,7 @@
             let b = &mut self.backends[i];
             b.record.congested = true;
             b.record.prat = now + t;
-            let text =
-                format!("congested {:016x}: {failures} failures of {tries}, trial in {t:.0} ms", b.id.0);
-            out.push(Action::Log(text));
+            out.push(Action::Log(Note::Congested { backend: b.id, failures, tries, pause_ms: t }));
         }
     }
 
@@ -98,7 +96,6 @@
             b.cold_tokens = self.rng.f64();
         }
         b.record.revive();
-        let text = format!("live {:016x}: trial answered after {failed_trials} failed", b.id.0);
-        out.push(Action::Log(text));
+        out.push(Action::Log(Note::Live { backend: b.id, failed_trials }));
     }
 }
--- a/src/tally.rs
+++ b/src/tally.rs
@@ -6,9 +6,9 @@
 /// Least time between two lines, in milliseconds.
 const SPAN_MS: f64 = 2000.0;
 
-/// What stopped a request before any attempt.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Stop {
+/// What stopped a request before an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stop {
     /// Admission's level.
     Level,
     /// More in flight than this node has room for.
@@ -17,64 +17,69 @@
     NoBackend,
 }
 
+/// Why requests were refused, counted since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refusals {
+    /// By what stopped them, in the order of [`Stop`].
+    pub stopped: [u64; 3],
+    /// Given up on for other reasons: no time was left, or nothing for another attempt, or it is worth nothing.
+    pub given_up: u64,
+}
+
 /// Counts since the last line.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Tally {
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
     since: f64,
-    asked: u32,
-    stopped: [u32; 3],
-    ended: [u32; Outcome::COUNT],
+    /// Requests that came.
+    pub asked: u32,
+    /// Requests and further attempts that were stopped, in the order of [`Stop`].
+    pub stopped: [u32; 3],
+    /// Ends of attempts, in the order of [`Outcome::ALL`].
+    pub ended: [u32; Outcome::COUNT],
+    /// What stopped the request that is looked at.
+    last: Option<Stop>,
+    refusals: Refusals,
 }
 
 impl Tally {
     /// A request came.
     pub(crate) fn ask(&mut self) {
         self.asked = self.asked.saturating_add(1);
+        self.last = None;
     }
 
     /// A request, or its next attempt, was stopped.
     pub(crate) fn stop(&mut self, by: Stop) {
         let count = &mut self.stopped[by as usize];
         *count = count.saturating_add(1);
+        self.last = Some(by);
+    }
+
+    /// It was refused, by what last stopped it.
+    pub(crate) fn refuse(&mut self) {
+        match self.last.take() {
+            Some(by) => self.refusals.stopped[by as usize] += 1,
+            None => self.refusals.given_up += 1,
+        }
     }
 
     /// An attempt ended.
     pub(crate) fn end(&mut self, outcome: Outcome) {
         let count = &mut self.ended[outcome as usize];
         *count = count.saturating_add(1);
+        self.last = None;
+    }
+
+    /// Why requests were refused.
+    pub(crate) fn refusals(&self) -> Refusals {
+        self.refusals
     }
 
     /// The counts, to be told at `now` and begun anew: none while nothing was stopped, nor soon after others.
     pub(crate) fn take(&mut self, now: f64) -> Option<Tally> {
         let due = now - self.since >= SPAN_MS && self.stopped != [0; 3];
-        due.then(|| std::mem::replace(self, Tally { since: now, ..Tally::default() }))
-    }
-}
-
-/// How the fleet looks to a node that tells its counts.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Look {
-    /// Admission's level, strain and room.
-    pub(crate) level: f64,
-    pub(crate) strain: f64,
-    pub(crate) pressure: f64,
-    pub(crate) room: f64,
-    /// Budget of spills.
-    pub(crate) spill: f64,
-    /// Backends that are congested, and that are at their cap.
-    pub(crate) out: usize,
-    pub(crate) capped: usize,
-    pub(crate) in_flight: u32,
-}
-
-impl Tally {
-    /// The line for the log.
-    pub(crate) fn line(&self, look: &Look) -> String {
-        let Look { level, strain, pressure, room, spill, out, capped, in_flight } = look;
-        format!(
-            "{self}; level {level:.2} strain {strain:.2} pressure {pressure:.2} room {room:.2} spill {spill:.1}; \
-             backends out {out}, at cap {capped}, in flight {in_flight}"
-        )
+        let fresh = Tally { since: now, refusals: self.refusals, ..Tally::default() };
+        due.then(|| std::mem::replace(self, fresh))
     }
 }
 
@@ -90,6 +95,35 @@
     }
 }
 
+/// How the fleet looks to a node that tells its counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Look {
+    /// Part of the offered work that admission lets in.
+    pub level: f64,
+    /// Share of strain in recent outcomes.
+    pub strain: f64,
+    /// Mean pressure that answers report.
+    pub pressure: f64,
+    /// How much more than the first estimate this node may have in flight.
+    pub room: f64,
+    /// Budget of spills.
+    pub spill: f64,
+    /// Backends that are congested.
+    pub out: usize,
+    /// Backends that are at their cap.
+    pub capped: usize,
+    /// Attempts that are out and not answered yet.
+    pub in_flight: u32,
+}
+
+impl fmt::Display for Look {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Look { level, strain, pressure, room, spill, out, capped, in_flight } = self;
+        write!(f, "level {level:.2} strain {strain:.2} pressure {pressure:.2} room {room:.2} ")?;
+        write!(f, "spill {spill:.1}; backends out {out}, at cap {capped}, in flight {in_flight}")
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -109,6 +143,19 @@
         assert!(tally.take(SPAN_MS + 1.0).is_none(), "told a moment ago");
     }
 
+    #[test]
+    fn a_refusal_counts_for_what_stopped_it_and_outlives_the_line() {
+        let mut tally = Tally::default();
+        tally.ask();
+        tally.stop(Stop::Level);
+        tally.refuse();
+        tally.ask();
+        tally.end(Outcome::TimedOut);
+        tally.refuse();
+        assert!(tally.take(SPAN_MS).is_some());
+        assert_eq!(tally.refusals(), Refusals { stopped: [1, 0, 0], given_up: 1 });
+    }
+
     #[test]
     fn every_outcome_has_its_count() {
         for (n, outcome) in Outcome::ALL.into_iter().enumerate() {
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,7 +1,7 @@
 //! What others may see of a balancer, and what it takes over from another: it reads and restores state, and
 //! decides nothing.
 
-use crate::interface::{Known, Memory};
+use crate::interface::{BackendFigures, Figures, Known, Memory};
 use crate::measure::Learned;
 use crate::policy::{Backend, Balancer, Cap};
 use crate::tally::Look;
@@ -47,4 +47,24 @@
             in_flight: self.in_flight,
         }
     }
+
+    /// What the decisions know, for whoever is on call.
+    pub fn figures(&self, now: f64) -> Figures {
+        let backend = |b: &Backend| BackendFigures {
+            backend: b.id,
+            zone: b.zone,
+            up: b.up,
+            trial_at_ms: b.record.congested.then_some(b.record.prat),
+            cap: b.cap.limit,
+            in_flight: b.in_flight,
+            cold: now - b.cold_since < self.s.cold_ms,
+            pressure: b.load.at(now, self.pressure),
+        };
+        Figures {
+            look: self.look(now),
+            refusals: self.tally.refusals(),
+            warm_rate: self.warm.most,
+            backends: self.backends.iter().map(backend).collect(),
+        }
+    }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -137,6 +137,11 @@
             .unwrap_or(u16::MAX)
     }
 
+    /// Name of a zone; none for the foreign one.
+    pub fn zone_name(&self, number: u16) -> Option<&str> {
+        self.zones.get(usize::from(number)).map(String::as_str)
+    }
+
     fn backend(&mut self, name: &str) -> BackendId {
         let id = BackendId(stable_hash(name));
         self.backends.entry(id).or_insert_with(|| name.to_owned());
