--- /dev/null
+++ b/crates/cli/src/lab.rs
@@ -0,0 +1,450 @@
+//! `daleturn lab` and `daleturn demo`: days played on this machine, and what came of them.
+
+use crate::page::{Failure, print, table};
+use clap::Subcommand;
+use daleturn_lab::baseline::{Pick, serve};
+use daleturn_lab::plan::Plan;
+use daleturn_lab::real::{Moment, Options, Outcome, PlayError, beside, block_on, play};
+use daleturn_lab::report;
+use daleturn_lab::scenario::Scenario;
+use daleturn_lab::stats::{mean, paired};
+use std::fmt::Write;
+use std::io::IsTerminal;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::sync::watch;
+
+/// The day that `daleturn lab cost` plays.
+const COST: &str = include_str!("../../../scenarios/cost.toml");
+/// The day that `daleturn demo` plays.
+const DEMO: &str = include_str!("../../../scenarios/demo.toml");
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Plays a day with real node processes and judges it
+    #[command(
+        after_help = "Exit codes: 0 kept, 1 a rule or an expectation is broken, 2 not a scenario.\n\n\
+                            Examples:\n  daleturn lab run scenarios/server-bad.toml\n  daleturn lab run \
+                            scenarios/zone-lost.toml --seed 7 --report /tmp/zone-lost --logs /tmp/logs"
+    )]
+    Run {
+        #[command(flatten)]
+        day: Day,
+        /// Write the outcome as JSON into this file
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+        /// Write a page with plots into this folder
+        #[arg(long, value_name = "DIR")]
+        report: Option<PathBuf>,
+        /// Keep the nodes' logs in this folder
+        #[arg(long, value_name = "DIR")]
+        logs: Option<PathBuf>,
+        /// Put a plain balancer in the node's place
+        #[arg(long, value_name = "NAME")]
+        baseline: Option<String>,
+    },
+    /// Plays the same days on two builds by turns: differences in pairs, so that the machine's noise cancels
+    #[command(
+        after_help = "Example:\n  daleturn lab compare scenarios/brianza-day.toml --a old/daleturn-node --b \
+                            target/release/daleturn-node --pairs 5"
+    )]
+    Compare {
+        /// The scenario
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// One node's program, or baseline:NAME
+        #[arg(long, value_name = "PATH")]
+        a: String,
+        /// The other node's program
+        #[arg(long, value_name = "PATH")]
+        b: String,
+        /// How many days, each with a seed of its own
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        pairs: u64,
+    },
+    /// Measures what the node costs beside a plain pass-through, in turns on one core each
+    Cost {
+        /// The node's program, in place of the one beside this command
+        #[arg(long, value_name = "PATH")]
+        node: Option<PathBuf>,
+        /// How often each
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=100))]
+        pairs: u64,
+    },
+    /// Plays a day with a key of its scenario set to each of some values
+    #[command(after_help = "Example:\n  daleturn lab sweep scenarios/brianza-day.toml --set \
+                            load.of_capacity=0.5,0.7,0.9 --seeds 3")]
+    Sweep {
+        /// The scenario
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// The key and its values
+        #[arg(long, value_name = "KEY=V1,V2,...")]
+        set: String,
+        /// How many seeds for each value
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=100))]
+        seeds: u64,
+        /// The node's program
+        #[arg(long, value_name = "PATH")]
+        node: Option<PathBuf>,
+    },
+}
+
+#[derive(Debug, clap::Args)]
+pub struct Day {
+    /// The scenario
+    #[arg(value_name = "FILE")]
+    file: PathBuf,
+    /// The seed, in place of the scenario's own
+    #[arg(long)]
+    seed: Option<u64>,
+    /// The node's program, in place of the one beside this command
+    #[arg(long, value_name = "PATH")]
+    node: Option<PathBuf>,
+    /// The program that an upgrade brings
+    #[arg(long, value_name = "PATH")]
+    next: Option<PathBuf>,
+}
+
+fn node(given: Option<&Path>) -> Result<PathBuf, String> {
+    if let Some(path) = given {
+        return if path.is_file() {
+            Ok(path.to_owned())
+        } else {
+            Err(format!("{}: not a file", path.display()))
+        };
+    }
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    beside(&own, "daleturn-node")
+        .ok_or_else(|| "there is no daleturn-node beside this command: name it with --node".to_owned())
+}
+
+/// A node's program with its arguments, by its path or as `baseline:NAME`.
+fn program(said: &str) -> Result<(PathBuf, Vec<String>), String> {
+    let Some(name) = said.strip_prefix("baseline:") else {
+        return Ok((node(Some(Path::new(said)))?, Vec::new()));
+    };
+    if Pick::named(name).is_none() {
+        let names: Vec<&str> = Pick::ALL.iter().map(|(name, _)| *name).collect();
+        return Err(format!("there is no baseline {name:?}; there are {}", names.join(", ")));
+    }
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    Ok((own, vec!["baseline".to_owned(), name.to_owned()]))
+}
+
+/// Serves as a baseline.
+pub fn baseline(name: &str) -> Result<ExitCode, Failure> {
+    let pick = Pick::named(name).ok_or_else(|| format!("there is no baseline {name:?}"))?;
+    serve(pick)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn options(program: PathBuf, stop: &watch::Receiver<bool>) -> Options {
+    Options { node: program, node_args: Vec::new(), next: None, logs: None, stop: stop.clone() }
+}
+
+/// Plays on a runtime of its own; Ctrl-C ends it and leaves no process behind.
+fn with_stop<T>(work: impl AsyncFnOnce(watch::Receiver<bool>) -> T) -> Result<T, String> {
+    let (stop, stopped) = watch::channel(false);
+    block_on(async move {
+        tokio::spawn(async move {
+            if tokio::signal::ctrl_c().await.is_ok() {
+                let _ = stop.send(true);
+            }
+            // A second one need not be waited for.
+            std::future::pending::<()>().await;
+        });
+        work(stopped).await
+    })
+    .map_err(|e| e.to_string())
+}
+
+fn bar(share: f64, width: usize) -> String {
+    let full = (share.clamp(0.0, 1.0) * width as f64).round() as usize;
+    format!("{}{}", "#".repeat(full), ".".repeat(width - full))
+}
+
+fn progress(seconds: f64) -> impl FnMut(&Moment) {
+    let shown = std::io::stderr().is_terminal();
+    move |m: &Moment| {
+        if shown {
+            let wrong =
+                if m.troubles.is_empty() { String::new() } else { format!("  {}", m.troubles.join("; ")) };
+            let line = format!("{:5.1} of {seconds:.0} s  served {:.3}{wrong}", m.at_s, m.served);
+            eprint!("\r\x1b[K{line:.110}");
+        }
+    }
+}
+
+fn clear() {
+    if std::io::stderr().is_terminal() {
+        eprint!("\r\x1b[K");
+    }
+}
+
+/// What goes wrong before anything is played is no scenario, exit code 2.
+fn scenario(file: &Path) -> Result<Scenario, ExitCode> {
+    Scenario::read(file).map_err(|e| {
+        eprintln!("daleturn: {}: {e}", file.display());
+        ExitCode::from(2)
+    })
+}
+
+pub fn run(command: &Command) -> Result<ExitCode, Failure> {
+    match command {
+        Command::Run { day, json, report: folder, logs, baseline } => {
+            let scenario = match scenario(&day.file) {
+                Ok(scenario) => scenario,
+                Err(code) => return Ok(code),
+            };
+            let seed = day.seed.unwrap_or(scenario.seed);
+            let (path, args) = match baseline {
+                None => (node(day.node.as_deref())?, Vec::new()),
+                Some(name) => program(&format!("baseline:{name}"))?,
+            };
+            let played = with_stop(async |stop| {
+                let options = Options {
+                    node_args: args,
+                    next: day.next.clone(),
+                    logs: logs.clone(),
+                    ..options(path, &stop)
+                };
+                play(&scenario, seed, &options, progress(scenario.seconds)).await
+            })?;
+            clear();
+            let outcome = match played {
+                Ok(outcome) => outcome,
+                Err(e @ PlayError::Ready { .. }) => {
+                    print(&format!("lab: {} seed {seed}: BROKEN {e}\n", scenario.name))?;
+                    return Ok(ExitCode::FAILURE);
+                }
+                Err(e) => return Err(format!("{}: {e}", scenario.name).into()),
+            };
+            if let Some(path) = json {
+                let text = serde_json::to_string_pretty(&outcome).map_err(|e| e.to_string())?;
+                std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+            if let Some(dir) = folder {
+                let plan = Plan::draw(&scenario, seed);
+                report::write(dir, &plan, &outcome).map_err(|e| format!("{}: {e}", dir.display()))?;
+            }
+            print(&summary(&outcome))?;
+            print(&format!("{}\n", outcome.line()))?;
+            let kept = matches!(outcome.verdict, daleturn_lab::judge::Verdict::Kept);
+            Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+        }
+        Command::Compare { file, a, b, pairs } => {
+            let scenario = match scenario(file) {
+                Ok(scenario) => scenario,
+                Err(code) => return Ok(code),
+            };
+            compare(&scenario, [program(a)?, program(b)?], *pairs)
+        }
+        Command::Cost { node: given, pairs } => {
+            let scenario = Scenario::parse(COST).map_err(|e| format!("cost: {e}"))?;
+            compare(&scenario, [program("baseline:pass")?, (node(given.as_deref())?, Vec::new())], *pairs)
+        }
+        Command::Sweep { file, set, seeds, node: given } => {
+            let program = node(given.as_deref())?;
+            sweep(file, set, *seeds, &program)
+        }
+    }
+}
+
+/// The figures of a day, by name.
+fn figures(o: &Outcome) -> Vec<(&'static str, f64)> {
+    let f = &o.figures;
+    vec![
+        ("worth", f.worth),
+        ("worth less crossings", f.worth_less_crossings),
+        ("worst 5 s", f.worst_5s),
+        ("worst class", f.worst_class),
+        ("worst tenant", f.worst_tenant),
+        ("tries", f.tries),
+        ("refused", f.refused as f64),
+        ("failed", f.failed as f64),
+        ("attempts", f.attempts),
+        ("crossings", f.crossings),
+        ("probes", f.probes as f64),
+        ("handshakes", f.handshakes as f64),
+        ("datagrams", f.datagrams as f64),
+        ("answer p50 ms", f.answer_ms[0]),
+        ("answer p99 ms", f.answer_ms[2]),
+        ("node CPU us a try", o.cpu_us),
+        ("lab late p99 ms", f.lateness_ms),
+    ]
+}
+
+fn summary(o: &Outcome) -> String {
+    let rows: Vec<Vec<String>> =
+        figures(o).into_iter().map(|(name, value)| vec![name.to_owned(), format!("{value:.3}")]).collect();
+    let mut out = table(&["figure", "value"], rows);
+    for (name, ms) in &o.figures.recover_ms {
+        let back = ms.map_or_else(|| "never".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
+        // Writing to a String cannot fail.
+        let _ = writeln!(out, "back after {name}: {back}");
+    }
+    out
+}
+
+fn compare(
+    scenario: &Scenario,
+    sides: [(PathBuf, Vec<String>); 2],
+    pairs: u64,
+) -> Result<ExitCode, Failure> {
+    let mut days: [Vec<Outcome>; 2] = [Vec::new(), Vec::new()];
+    let played = with_stop(async |stop| {
+        for pair in 0..pairs {
+            let seed = scenario.seed + pair;
+            // Whoever goes first goes second in the next pair.
+            let mut turns = [0, 1];
+            if pair % 2 == 1 {
+                turns.reverse();
+            }
+            for side in turns {
+                let (program, args) = sides[side].clone();
+                let options = Options { node_args: args, ..options(program, &stop) };
+                let outcome = play(scenario, seed, &options, progress(scenario.seconds)).await?;
+                clear();
+                eprintln!("{}: {}", if side == 0 { "a" } else { "b" }, outcome.line());
+                days[side].push(outcome);
+            }
+        }
+        Ok::<(), PlayError>(())
+    })?;
+    played.map_err(|e| e.to_string())?;
+    let of = |side: usize, n: usize| -> Vec<f64> { days[side].iter().map(|o| figures(o)[n].1).collect() };
+    let names: Vec<&str> = figures(&days[0][0]).into_iter().map(|(name, _)| name).collect();
+    let rows = names.iter().enumerate().map(|(n, name)| {
+        let (a, b) = (of(0, n), of(1, n));
+        let difference = paired(&a, &b);
+        vec![
+            (*name).to_owned(),
+            format!("{:.3}", mean(&a).mean),
+            format!("{:.3}", mean(&b).mean),
+            format!("{:+.4}", difference.mean),
+            format!("{:.4}", difference.half),
+            if difference.shows() { "yes" } else { "no" }.to_owned(),
+        ]
+    });
+    print(&table(&["figure", "a", "b", "b - a", "+- 95%", "shows"], rows.collect()))?;
+    let broken = |side: usize| days[side].iter().filter(|o| !o.figures.broken.is_empty()).count();
+    print(&format!("days with a broken rule: a {}, b {} of {pairs}\n", broken(0), broken(1)))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn sweep(file: &Path, set: &str, seeds: u64, program: &Path) -> Result<ExitCode, Failure> {
+    let wrong = |why: &str| {
+        eprintln!("daleturn: {why}");
+        Ok(ExitCode::from(2))
+    };
+    let Some((key, values)) = set.split_once('=') else { return wrong("--set takes KEY=V1,V2,...") };
+    let text = match daleturn::files::read_text(file, 1 << 20) {
+        Ok(text) => text,
+        Err(e) => return wrong(&format!("{}: {e}", file.display())),
+    };
+    let mut rows: Vec<Vec<String>> = Vec::new();
+    for value in values.split(',') {
+        let mut content: toml::Table = match text.parse() {
+            Ok(content) => content,
+            Err(e) => return wrong(&format!("{}: {e}", file.display())),
+        };
+        let parsed = format!("v = {value}").parse::<toml::Table>().ok().and_then(|mut t| t.remove("v"));
+        let parsed = parsed.unwrap_or_else(|| toml::Value::String(value.to_owned()));
+        let mut parts: Vec<&str> = key.split('.').collect();
+        let Some(last) = parts.pop() else { return wrong("--set needs a key") };
+        let mut at = &mut content;
+        for part in parts {
+            let next = at.entry(part).or_insert_with(|| toml::Value::Table(toml::Table::new()));
+            let Some(table) = next.as_table_mut() else { return wrong(&format!("{part} is not a table")) };
+            at = table;
+        }
+        at.insert(last.to_owned(), parsed);
+        let scenario = match Scenario::parse(&content.to_string()) {
+            Ok(scenario) => scenario,
+            Err(e) => return wrong(&format!("with {key} = {value}: {e}")),
+        };
+        let played = with_stop(async |stop| {
+            let mut days = Vec::new();
+            for n in 0..seeds {
+                let options = options(program.to_owned(), &stop);
+                let seed = scenario.seed + n;
+                days.push(play(&scenario, seed, &options, progress(scenario.seconds)).await?);
+                clear();
+            }
+            Ok::<_, PlayError>(days)
+        })?;
+        let days = played.map_err(|e| e.to_string())?;
+        let names = figures(&days[0]);
+        let mut row = vec![value.to_owned()];
+        row.extend((0..names.len()).map(|n| {
+            let m = mean(&days.iter().map(|o| figures(o)[n].1).collect::<Vec<f64>>());
+            if m.half.is_finite() {
+                format!("{:.3} +- {:.3}", m.mean, m.half)
+            } else {
+                format!("{:.3}", m.mean)
+            }
+        }));
+        let broken = days.iter().filter(|o| !o.figures.broken.is_empty()).count();
+        row.push(broken.to_string());
+        if rows.is_empty() {
+            rows.push(
+                std::iter::once(key.to_owned()).chain(names.iter().map(|n| n.0.to_owned())).collect(),
+            );
+            if let Some(heads) = rows.first_mut() {
+                heads.push("broken days".to_owned());
+            }
+        }
+        rows.push(row);
+    }
+    // A line for each figure, a column for each value: more figures than values.
+    let heads: Vec<&str> = rows.iter().map(|r| r[0].as_str()).collect();
+    let lines = (1..rows[0].len()).map(|n| rows.iter().map(|r| r[n].clone()).collect());
+    print(&table(&heads, lines.collect()))?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Four nodes and twelve servers for twenty seconds, with a live view.
+pub fn demo(given: Option<&Path>) -> Result<ExitCode, Failure> {
+    let program = node(given)?;
+    let scenario = Scenario::parse(DEMO).map_err(|e| format!("demo: {e}"))?;
+    let terminal = std::io::stdout().is_terminal();
+    let seconds = scenario.seconds;
+    let view = |m: &Moment| {
+        if !terminal {
+            return;
+        }
+        let mut out = String::from("\x1b[2J\x1b[H");
+        // Writing to a String cannot fail.
+        let _ = writeln!(out, "daleturn demo: {:.1} of {seconds:.0} s\n", m.at_s.max(0.0));
+        let _ = writeln!(out, "served   {} {:.3}", bar(m.served, 40), m.served);
+        let _ = writeln!(out, "refused  {}    failed {}", m.refused, m.failed);
+        let nodes: Vec<&str> = m.nodes.iter().map(|up| if *up { "up" } else { "--" }).collect();
+        let _ = writeln!(out, "nodes    {}", nodes.join(" "));
+        let _ = writeln!(out, "wrong    {}\n", m.troubles.join("; "));
+        let most = m.servers.iter().copied().max().unwrap_or(0).max(1) as f64;
+        for (n, sent) in m.servers.iter().enumerate() {
+            let _ = writeln!(out, "s-{n:<3} {} {sent}", bar(*sent as f64 / most, 40));
+        }
+        // A view that nobody sees is no reason to end.
+        let _ = print(&out);
+    };
+    if !terminal {
+        print("daleturn demo: four nodes, twelve servers, one of which goes bad and comes back; 20 s\n")?;
+    }
+    let played = with_stop(async |stop| {
+        let options = options(program, &stop);
+        play(&scenario, scenario.seed, &options, view).await
+    })?;
+    match played {
+        Ok(outcome) => {
+            print(&format!("\n{}\n{}\n", summary(&outcome), outcome.line()))?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(PlayError::Stopped) => {
+            print("\nended\n")?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(e) => Err(e.to_string().into()),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 
 mod call;
 mod config;
+mod lab;
 mod page;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -27,6 +28,21 @@
     /// Checks configuration files, and tells what they may hold
     #[command(subcommand)]
     Config(config::Command),
+    /// Shows it working: a small fleet with a fault, for 20 s
+    Demo {
+        /// The node's program, in place of the one beside this command
+        #[arg(long, value_name = "PATH")]
+        node: Option<std::path::PathBuf>,
+    },
+    /// Plays days with real node processes and faults between them
+    #[command(subcommand)]
+    Lab(lab::Command),
+    /// Serves as a plain balancer in a node's place; the lab starts it
+    #[command(hide = true)]
+    Baseline {
+        /// Which
+        name: String,
+    },
     /// Prints a script that completes this command in a shell
     #[command(after_help = "Example:\n  daleturn completions bash > /etc/bash_completion.d/daleturn")]
     Completions {
@@ -37,16 +53,19 @@
 
 fn main() -> ExitCode {
     let done = match Args::parse().command {
-        Command::Call(args) => call::run(&args),
-        Command::Config(command) => config::run(&command),
+        Command::Call(args) => call::run(&args).map(|()| ExitCode::SUCCESS),
+        Command::Config(command) => config::run(&command).map(|()| ExitCode::SUCCESS),
+        Command::Demo { node } => lab::demo(node.as_deref()),
+        Command::Lab(command) => lab::run(&command),
+        Command::Baseline { name } => lab::baseline(&name),
         Command::Completions { shell } => {
             let mut script = Vec::new();
             clap_complete::generate(shell, &mut Args::command(), "daleturn", &mut script);
-            page::print(&String::from_utf8_lossy(&script))
+            page::print(&String::from_utf8_lossy(&script)).map(|()| ExitCode::SUCCESS)
         }
     };
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         // Whoever read the output has seen enough.
         Err(page::Failure::Closed) => ExitCode::SUCCESS,
         Err(page::Failure::Said(why)) => {
--- /dev/null
+++ b/crates/lab/src/baseline.rs
@@ -0,0 +1,236 @@
+//! Plain balancers that speak the node's protocol and decide next to nothing, so that every figure of the node stands
+//! beside something. They follow discovery and pass on; they judge nobody, repeat nothing and refuse nothing.
+
+use bytes::Bytes;
+use daleturn::platform::Config;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Pause after a call of discovery that failed.
+const PAUSE: Duration = Duration::from_millis(200);
+/// A connection that does not come up by then does not.
+const CONNECT: Duration = Duration::from_millis(150);
+
+/// How a server is picked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// The same one for all that a node gets: no decision at all.
+    Pass,
+    /// By chance.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// Of two by chance, the one with fewer of this node's requests in flight.
+    Least,
+}
+
+impl Pick {
+    /// All of them, by name.
+    pub const ALL: [(&'static str, Pick); 4] = [
+        ("pass", Pick::Pass),
+        ("random", Pick::Random),
+        ("round-robin", Pick::RoundRobin),
+        ("least", Pick::Least),
+    ];
+
+    /// One by its name.
+    pub fn named(name: &str) -> Option<Pick> {
+        Pick::ALL.into_iter().find(|(n, _)| *n == name).map(|(_, pick)| pick)
+    }
+}
+
+type Conn = SendRequest<Full<Bytes>>;
+
+struct Proxy {
+    pick: Pick,
+    servers: RefCell<BTreeMap<String, SocketAddr>>,
+    idle: RefCell<HashMap<SocketAddr, Vec<Conn>>>,
+    in_flight: RefCell<HashMap<SocketAddr, u32>>,
+    turn: Cell<usize>,
+    draws: Cell<u64>,
+}
+
+impl Proxy {
+    fn draw(&self, of: usize) -> usize {
+        // A small generator is plenty for picking by chance.
+        let mut x = self.draws.get();
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        self.draws.set(x);
+        (x % of.max(1) as u64) as usize
+    }
+
+    fn server(&self) -> Option<SocketAddr> {
+        let all: Vec<SocketAddr> = self.servers.borrow().values().copied().collect();
+        let flying = |at: &SocketAddr| self.in_flight.borrow().get(at).copied().unwrap_or(0);
+        match self.pick {
+            Pick::Pass => all.first().copied(),
+            Pick::Random => all.get(self.draw(all.len())).copied(),
+            Pick::RoundRobin => {
+                let turn = self.turn.get();
+                self.turn.set(turn.wrapping_add(1));
+                all.get(turn % all.len().max(1)).copied()
+            }
+            Pick::Least => {
+                let (a, b) = (all.get(self.draw(all.len()))?, all.get(self.draw(all.len()))?);
+                Some(if flying(b) < flying(a) { *b } else { *a })
+            }
+        }
+    }
+
+    /// Takes in an answer of discovery; its version comes back.
+    fn listed(&self, answer: &Value) -> Option<u64> {
+        let mut servers = self.servers.borrow_mut();
+        if answer.get("all")?.as_bool()? {
+            servers.clear();
+        }
+        for target in answer.get("targets")?.as_array()? {
+            let uid = target.get("uid")?.as_str()?;
+            let at = target.get("endpoint").and_then(Value::as_str).and_then(|e| e.parse().ok());
+            match (target.get("state")?.as_str()?, at) {
+                ("up", Some(at)) => drop(servers.insert(uid.to_owned(), at)),
+                _ => drop(servers.remove(uid)),
+            }
+        }
+        answer.get("rev")?.as_u64()
+    }
+
+    async fn open(at: SocketAddr) -> Option<Conn> {
+        let stream = tokio::time::timeout(CONNECT, TcpStream::connect(at)).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        spawn_local(async move {
+            // Its end is seen by whoever sends.
+            let _ = connection.await;
+        });
+        Some(sender)
+    }
+
+    async fn watch(&self, discovery: SocketAddr) {
+        let mut version: Option<u64> = None;
+        loop {
+            let call = async {
+                let mut conn = Proxy::open(discovery).await?;
+                let path = version.map_or("/discovery/hosts".to_owned(), |v| {
+                    format!("/discovery/hosts?after={v}&wait_ms=20000")
+                });
+                let request =
+                    Request::get(path).header("host", discovery.to_string()).body(Full::default()).ok()?;
+                let answer = conn.send_request(request).await.ok()?;
+                if answer.status() != StatusCode::OK {
+                    return None;
+                }
+                let body = answer.into_body().collect().await.ok()?.to_bytes();
+                self.listed(&serde_json::from_slice(&body).ok()?)
+            };
+            match call.await {
+                Some(now) => version = Some(now),
+                None => tokio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn pass(&self, request: Request<Incoming>) -> Option<Response<Full<Bytes>>> {
+        let at = self.server()?;
+        let wait = request.headers().get("x-expires-in-ms").and_then(|v| v.to_str().ok()?.parse().ok());
+        let (head, body) = request.into_parts();
+        let body = Full::new(body.collect().await.ok()?.to_bytes());
+        *self.in_flight.borrow_mut().entry(at).or_default() += 1;
+        let exchange = async {
+            let kept = self.idle.borrow_mut().get_mut(&at).and_then(Vec::pop);
+            let mut conn = match kept.filter(|c| c.is_ready()) {
+                Some(conn) => conn,
+                None => Proxy::open(at).await?,
+            };
+            let answer = conn.send_request(Request::from_parts(head, body)).await.ok()?;
+            let (head, body) = answer.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            self.idle.borrow_mut().entry(at).or_default().push(conn);
+            Some((head.status, body))
+        };
+        let limit = Duration::from_millis(wait.unwrap_or(1000));
+        let answer = tokio::time::timeout(limit, exchange).await.ok().flatten();
+        if let Some(n) = self.in_flight.borrow_mut().get_mut(&at) {
+            *n = n.saturating_sub(1);
+        }
+        let (status, body) = answer.filter(|(status, _)| *status == StatusCode::OK)?;
+        let mut response = Response::new(Full::new(body));
+        *response.status_mut() = status;
+        Some(response)
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let plain = |status| {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = status;
+            response
+        };
+        if request.uri().path() == "/up" {
+            let ready = !self.servers.borrow().is_empty();
+            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+        }
+        self.pass(request).await.unwrap_or_else(|| plain(StatusCode::BAD_GATEWAY))
+    }
+}
+
+/// Serves as one, with the node's configuration, until SIGTERM.
+///
+/// # Errors
+/// The configuration cannot be read, or its address not be bound.
+pub fn serve(pick: Pick) -> Result<(), String> {
+    let config = Config::load().map_err(|e| e.to_string())?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let seed = config.seed | 1;
+    let proxy = Rc::new(Proxy {
+        pick,
+        servers: RefCell::default(),
+        idle: RefCell::default(),
+        in_flight: RefCell::default(),
+        turn: Cell::new(config.settings.slot as usize),
+        draws: Cell::new(seed),
+    });
+    // What the configuration knows serves meanwhile.
+    proxy.listed(&config.known);
+    LocalSet::new().block_on(&runtime, async move {
+        let listener = TcpListener::bind(config.listen).await.map_err(|e| e.to_string())?;
+        let mut end = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+            .map_err(|e| e.to_string())?;
+        let watching = proxy.clone();
+        spawn_local(async move { watching.watch(config.discovery).await });
+        loop {
+            let stream = tokio::select! {
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => continue,
+                },
+                _ = end.recv() => return Ok(()),
+            };
+            let _ = stream.set_nodelay(true);
+            let proxy = proxy.clone();
+            spawn_local(async move {
+                let service = service_fn(|request| {
+                    let proxy = proxy.clone();
+                    async move { Ok::<_, Infallible>(proxy.respond(request).await) }
+                });
+                // Errors are the client's.
+                let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+            });
+        }
+    })
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! The lab: an emulated fleet in which real processes of the node live through failures, and a judge that believes
+//! clients, servers and links alone.
+//!
+//! - [`scenario`] reads days as TOML, [`plan`] draws what a seed decides of them.
+//! - [`server`] models a config server, [`judge`] keeps the operators' rules and figures; neither has I/O or a
+//!   clock, so real and simulated days share them.
+//! - [`real`] plays a day on loopback with real processes, [`report`] shows what came of it.
+
+pub mod baseline;
+pub mod judge;
+pub mod plan;
+pub mod real;
+pub mod report;
+pub mod scenario;
+pub mod server;
+pub mod stats;
--- /dev/null
+++ b/crates/lab/src/real/mod.rs
@@ -0,0 +1,753 @@
+//! A day on loopback: servers, discovery and clients in this process, nodes as processes of their own, and troubles
+//! by the clock.
+
+mod clients;
+mod discovery;
+mod links;
+mod nodes;
+mod peers;
+mod servers;
+mod timer;
+
+use crate::judge::{Figures, Judge, Rule, Verdict};
+use crate::plan::{Arrival, Ends, Fault, Plan};
+use crate::scenario::{Kind, Scenario};
+use clients::Clients;
+use discovery::Discovery;
+use links::{Link, Passing, lock};
+use nodes::{Node, Nodes};
+use peers::Peers;
+use serde::Serialize;
+use servers::Host;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use thiserror::Error;
+use timer::Timer;
+use tokio::sync::watch;
+
+/// Nodes must be ready within this.
+const READY: Duration = Duration::from_secs(30);
+/// After the last arrival, what is still open has its time and this.
+const LAST: Duration = Duration::from_millis(1200);
+/// How often it is looked whether a node has ended by itself.
+const LOOK: Duration = Duration::from_millis(50);
+/// How often a live view is renewed.
+const VIEW: Duration = Duration::from_millis(250);
+/// A request is known to servers for so long after it was sent, in milliseconds.
+const KNOWN_MS: f64 = 30_000.0;
+/// A planned restart drains for so long before the process ends.
+const DRAIN: Duration = Duration::from_millis(1000);
+
+/// How a day is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The node's program.
+    pub node: PathBuf,
+    /// Arguments to it.
+    pub node_args: Vec<String>,
+    /// Another build that an upgrade brings; the same where there is none.
+    pub next: Option<PathBuf>,
+    /// Where the nodes' logs go.
+    pub logs: Option<PathBuf>,
+    /// What to end the day on.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// Why a day could not be played.
+#[derive(Debug, Error)]
+pub enum PlayError {
+    /// The system says why.
+    #[error("{0}")]
+    System(#[from] io::Error),
+    /// A node is not ready in time.
+    #[error("node {node} did not get ready within {} s{}", READY.as_secs(), .why.as_ref().map_or(String::new(), |w| format!(": {w}")))]
+    Ready {
+        /// Which.
+        node: usize,
+        /// What became of it.
+        why: Option<String>,
+    },
+    /// Somebody ended it.
+    #[error("ended before its end")]
+    Stopped,
+}
+
+/// What came of a day.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// The scenario's name.
+    pub name: String,
+    /// The seed.
+    pub seed: u64,
+    /// Kept or not.
+    pub verdict: Verdict,
+    /// The judge's figures.
+    pub figures: Figures,
+    /// CPU of all nodes for each try, in microseconds.
+    pub cpu_us: f64,
+    /// Memory of each node at the end, in kB.
+    pub memory_kb: Vec<Option<u64>>,
+}
+
+impl Outcome {
+    /// The last line of a play.
+    pub fn line(&self) -> String {
+        let head = format!("lab: {} seed {}:", self.name, self.seed);
+        let worth = self.figures.worth;
+        match &self.verdict {
+            Verdict::Kept => format!("{head} KEPT worth {worth:.3}"),
+            Verdict::Broken(why) => format!("{head} BROKEN {} (worth {worth:.3})", why.join("; ")),
+            Verdict::Late(ms) => format!("{head} LATE by {ms:.1} ms, does not count (worth {worth:.3})"),
+        }
+    }
+}
+
+/// A moment of a day, for a live view.
+#[derive(Clone, Debug)]
+pub struct Moment {
+    /// Seconds of the day.
+    pub at_s: f64,
+    /// Part of the worth that was served in the last second or two.
+    pub served: f64,
+    /// Which nodes take clients.
+    pub nodes: Vec<bool>,
+    /// What is wrong now.
+    pub troubles: Vec<String>,
+    /// Tries refused and failed so far.
+    pub refused: u64,
+    /// See above.
+    pub failed: u64,
+    /// Attempts at each server so far.
+    pub servers: Vec<u64>,
+}
+
+/// All parties of a day.
+pub struct World {
+    /// The day.
+    pub plan: Plan,
+    /// Who judges it.
+    pub judge: Mutex<Judge>,
+    begin: RwLock<Instant>,
+    timer: Timer,
+    hosts: Vec<Arc<Host>>,
+    discovery: OnceLock<Arc<Discovery>>,
+    peers: OnceLock<Arc<Peers>>,
+    /// The nodes.
+    pub nodes: Nodes,
+    /// The clients.
+    pub clients: Clients,
+    /// Arguments of a node's program.
+    pub node_args: Vec<String>,
+    sent: Mutex<(HashMap<u64, Arrival>, VecDeque<(f64, u64)>)>,
+    repeats: Mutex<HashMap<(usize, String), f64>>,
+    draws: AtomicU64,
+    ending: AtomicBool,
+}
+
+/// Spreads the bits of a number over all of it.
+fn mix(mut h: u64) -> u64 {
+    h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    h ^ (h >> 31)
+}
+
+fn unit(h: u64) -> f64 {
+    (h >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+impl World {
+    /// Milliseconds of the day; below 0 before it begins.
+    pub fn now(&self) -> f64 {
+        let begin = *self.begin.read().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let now = Instant::now();
+        if now >= begin {
+            (now - begin).as_secs_f64() * 1000.0
+        } else {
+            -(begin - now).as_secs_f64() * 1000.0
+        }
+    }
+
+    /// Sleeps until a moment of the day.
+    pub async fn until(&self, at_ms: f64) {
+        let left = at_ms - self.now();
+        if left > 0.0 {
+            self.timer.sleep(Duration::from_secs_f64(left / 1000.0)).await;
+        }
+    }
+
+    /// A draw between 0 and 1.
+    pub fn draw(&self) -> f64 {
+        let n = self.draws.fetch_add(1, Ordering::Relaxed);
+        unit(mix(self.plan.seed ^ mix(n)))
+    }
+
+    /// The luck of one thing, the same each time.
+    pub fn luck(&self, of: u64) -> f64 {
+        unit(mix(self.plan.seed.wrapping_add(mix(of))))
+    }
+
+    /// The day is over but for its end.
+    pub fn ending(&self) -> bool {
+        self.ending.load(Ordering::SeqCst)
+    }
+
+    fn host(&self, server: usize) -> Option<&Arc<Host>> {
+        self.hosts.get(server)
+    }
+
+    fn discovery(&self) -> Option<&Arc<Discovery>> {
+        self.discovery.get()
+    }
+
+    fn peer_addresses(&self, node: usize) -> Option<(Vec<String>, String)> {
+        self.peers.get().and_then(|p| p.addresses(node))
+    }
+
+    /// The id of a client's try.
+    fn try_id(&self, arrival: &Arrival, number: u32) -> u64 {
+        mix(self.plan.seed ^ mix(arrival.number << 8 | u64::from(number) + 1))
+    }
+
+    /// A client sends a try: servers know it from here on.
+    fn send(&self, id: u64, arrival: &Arrival) {
+        let now = self.now();
+        let (known, order) = &mut *lock(&self.sent);
+        known.insert(id, *arrival);
+        order.push_back((now, id));
+        while order.front().is_some_and(|(at, _)| now - at > KNOWN_MS) {
+            if let Some((_, id)) = order.pop_front() {
+                known.remove(&id);
+            }
+        }
+    }
+
+    fn sent(&self, id: u64) -> Option<Arrival> {
+        lock(&self.sent).0.get(&id).copied()
+    }
+
+    /// A keyed request meets a zone: whether servers there drop it as a repeat.
+    fn repeated(&self, zone: usize, key: &str, class: usize, now: f64) -> bool {
+        let ttl = self.plan.scenario.class.get(class).map_or(0.0, |c| c.key_ttl_ms);
+        let mut repeats = lock(&self.repeats);
+        if repeats.len() > 100_000 {
+            repeats.retain(|_, at| now - *at < KNOWN_MS);
+        }
+        let first = *repeats.entry((zone, key.to_owned())).or_insert(now);
+        first != now && now - first < ttl
+    }
+
+    /// The way between a node and a server, one way.
+    async fn way(&self, node: usize, server: usize, links: &[Arc<Link>]) {
+        let net = &self.plan.scenario.net;
+        let zone = self.plan.machines.get(server).map(|m| m.zone);
+        let own = self.plan.node_zones.get(node).copied();
+        let usual = if zone == own { net.same_ms } else { net.cross_ms };
+        let more = links.get(node).map_or(0.0, |l| l.passing().delay_ms);
+        if net.relays && usual + more > 0.0 {
+            self.timer.sleep(Duration::from_secs_f64((usual + more) / 1000.0)).await;
+        }
+    }
+
+    fn boot_ms() -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+    }
+}
+
+/// The directory of a play; it is removed with it.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new() -> io::Result<Scratch> {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("daleturn-lab-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&dir)?;
+        Ok(Scratch(dir))
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        // Whatever is left does no harm.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Plays a day; `view` is shown a moment of it now and then.
+///
+/// # Errors
+/// It cannot be set up, a node does not get ready, or somebody ended it.
+pub async fn play(
+    scenario: &Scenario,
+    seed: u64,
+    options: &Options,
+    mut view: impl FnMut(&Moment),
+) -> Result<Outcome, PlayError> {
+    let plan = Plan::draw(scenario, seed);
+    let scratch = Scratch::new()?;
+    let nodes: io::Result<Nodes> = (0..plan.node_zones.len())
+        .map(|n| Node::new(n, &options.node, &scratch.0, options.logs.as_deref()).map(Arc::new))
+        .collect();
+    let nodes = nodes?;
+    let mut world = World {
+        judge: Mutex::new(Judge::new(&plan)),
+        begin: RwLock::new(Instant::now() + Duration::from_secs(3600)),
+        timer: Timer::start()?,
+        hosts: Vec::new(),
+        discovery: OnceLock::new(),
+        peers: OnceLock::new(),
+        clients: Clients::new(scenario.fleet.zones.len(), nodes.len()),
+        nodes,
+        node_args: options.node_args.clone(),
+        sent: Mutex::default(),
+        repeats: Mutex::default(),
+        draws: AtomicU64::new(0),
+        ending: AtomicBool::new(false),
+        plan,
+    };
+    world.hosts = (0..world.plan.machines.len()).map(|n| Arc::new(Host::new(&world, n))).collect();
+    let world = Arc::new(world);
+    for host in &world.hosts {
+        host.start(&world)?;
+    }
+    let discovery = Arc::new(Discovery::new(&world));
+    discovery.open(&world)?;
+    let _ = world.discovery.set(discovery);
+    let peers = Arc::new(Peers::open(world.nodes.iter().map(|n| n.peer_listen).collect()).await?);
+    peers.start(&world);
+    let _ = world.peers.set(peers);
+    for node in &world.nodes {
+        node.start(&world)?;
+        tokio::spawn(Clients::watch(world.clone(), node.number));
+    }
+    let mut stop = options.stop.clone();
+    let played = tokio::select! {
+        played = run(&world, options, &mut view) => played,
+        _ = stop.wait_for(|stop| *stop) => Err(PlayError::Stopped),
+    };
+    world.ending.store(true, Ordering::SeqCst);
+    if played.is_err() {
+        for node in &world.nodes {
+            node.kill().await;
+        }
+    }
+    played?;
+    let memory_kb = world.nodes.iter().map(|n| n.memory_kb()).collect();
+    let ends = world.nodes.iter().map(|node| {
+        let node = node.clone();
+        tokio::spawn(async move {
+            node.freeze(false);
+            let ended = node.stop().await;
+            node.kill().await;
+            ended
+        })
+    });
+    for end in ends.collect::<Vec<_>>() {
+        if let Ok(Err(why)) = end.await {
+            let now = world.now();
+            lock(&world.judge).breach(Rule::Crash, now, why);
+        }
+    }
+    let figures = lock(&world.judge).figures();
+    let cpu: u64 = world.nodes.iter().map(|n| n.cpu_ns()).sum();
+    let tries = figures.tries * figures.asked as f64;
+    Ok(Outcome {
+        name: scenario.name.clone(),
+        seed,
+        verdict: figures.verdict(&scenario.expect),
+        cpu_us: cpu as f64 / 1000.0 / tries.max(1.0),
+        figures,
+        memory_kb,
+    })
+}
+
+async fn run(
+    world: &Arc<World>,
+    options: &Options,
+    view: &mut impl FnMut(&Moment),
+) -> Result<(), PlayError> {
+    let end = Instant::now() + READY;
+    while let Some(node) = world.nodes.iter().find(|n| !world.clients.ready(n.number)) {
+        let why = world.nodes.iter().find_map(|n| n.crashed());
+        if why.is_some() || Instant::now() > end {
+            return Err(PlayError::Ready { node: node.number, why });
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    *world.begin.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Instant::now();
+    let troubles =
+        Arc::new(Troubles { world: world.clone(), active: Mutex::default(), next: options.next.clone() });
+    for fault in world.plan.faults.clone() {
+        tokio::spawn(troubles.clone().meet(fault));
+    }
+    let arrivals = {
+        let world = world.clone();
+        tokio::spawn(async move {
+            let mut open = tokio::task::JoinSet::new();
+            let plan = world.plan.clone();
+            for arrival in plan.arrivals() {
+                world.until(arrival.at_ms).await;
+                let late = world.now() - arrival.at_ms;
+                lock(&world.judge).late(late);
+                open.spawn(Clients::come(world.clone(), arrival));
+                while open.try_join_next().is_some() {}
+            }
+            while open.join_next().await.is_some() {}
+        })
+    };
+    let longest = world.plan.scenario.class.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let last = world.plan.length_ms() + 2.0 * longest + LAST.as_secs_f64() * 1000.0;
+    let mut viewed = Instant::now();
+    loop {
+        for node in &world.nodes {
+            if let Some(why) = node.crashed() {
+                let now = world.now();
+                lock(&world.judge).breach(Rule::Crash, now, why);
+                // Clients must not wait for it, and the rest of the day goes on without.
+                node.excuse(true);
+            }
+        }
+        if viewed.elapsed() >= VIEW {
+            viewed = Instant::now();
+            view(&moment(world, &troubles));
+        }
+        if arrivals.is_finished() || world.now() > last {
+            view(&moment(world, &troubles));
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn moment(world: &World, troubles: &Troubles) -> Moment {
+    let now = world.now();
+    let active = lock(&troubles.active).clone();
+    let judge = lock(&world.judge);
+    let figures = judge.figures();
+    Moment {
+        at_s: now / 1000.0,
+        served: judge.lately(now - 600.0, 2000.0),
+        nodes: (0..world.nodes.len()).map(|n| world.clients.ready(n)).collect(),
+        troubles: world.plan.faults.iter().filter(|f| active.contains(&f.number)).map(name).collect(),
+        refused: figures.refused,
+        failed: figures.failed,
+        servers: figures.servers,
+    }
+}
+
+fn name(fault: &Fault) -> String {
+    let kind = serde_json::to_value(fault.kind).ok().and_then(|v| v.as_str().map(str::to_owned));
+    let servers = fault.on.servers.iter().map(|s| format!("s{s}"));
+    let nodes = fault.on.nodes.iter().map(|n| format!("n{n}"));
+    let who: Vec<String> = servers.chain(nodes).take(6).collect();
+    format!("{} {}", kind.unwrap_or_default(), who.join(","))
+}
+
+/// The troubles of a day.
+struct Troubles {
+    world: Arc<World>,
+    active: Mutex<BTreeSet<usize>>,
+    next: Option<PathBuf>,
+}
+
+impl Troubles {
+    async fn meet(self: Arc<Self>, fault: Fault) {
+        self.world.until(fault.at_ms).await;
+        lock(&self.active).insert(fault.number);
+        let day = self.world.plan.length_ms();
+        let until = fault.until_ms.unwrap_or(if lasts(fault.kind) { day } else { fault.at_ms });
+        lock(&self.world.judge).trouble(fault.kind, fault.number, fault.at_ms, until.min(day));
+        self.apply();
+        self.begin(&fault).await;
+        self.world.until(until).await;
+        lock(&self.active).remove(&fault.number);
+        self.apply();
+        self.end(&fault).await;
+    }
+
+    /// Puts what lasts into force, from all that is wrong now: troubles may overlap.
+    fn apply(&self) {
+        let world = &self.world;
+        let active = lock(&self.active).clone();
+        let faults: Vec<&Fault> = world.plan.faults.iter().filter(|f| active.contains(&f.number)).collect();
+        for (n, host) in world.hosts.iter().enumerate() {
+            let here = || faults.iter().filter(|f| f.on.servers.contains(&n));
+            let is = |kind: Kind| here().any(|f| f.kind == kind);
+            let most = |kind: Kind| here().filter(|f| f.kind == kind).map(|f| f.size).fold(0.0, f64::max);
+            host.model(|m| {
+                m.pace = 1.0 / most(Kind::ServerSlow).max(1.0);
+                m.taken = most(Kind::ServerNeighbour).clamp(0.0, 0.99);
+                m.pause_ms = most(Kind::ServerPauses).clamp(0.0, 990.0);
+            });
+            host.wrong(|w| {
+                w.silent = is(Kind::ServerSilent);
+                w.errors = most(Kind::ServerErrors);
+                w.resets = most(Kind::ServerResets);
+                w.full = is(Kind::ServerFull);
+                w.report_late_ms = most(Kind::ServerReportsLate) * 1000.0;
+            });
+            for node in 0..world.nodes.len() {
+                if let Some(link) = host.link(node) {
+                    link.double(is(Kind::ServerTwice));
+                    let party = |e: &Ends| e.servers.contains(&n);
+                    let mut passing = passing(&faults, node, &party);
+                    if is(Kind::ServerVanish) {
+                        passing = Passing { there: false, back: false, ..passing };
+                    }
+                    link.set(passing);
+                    host.door(node, is(Kind::ServerVanish));
+                }
+            }
+        }
+        if let Some(discovery) = world.discovery() {
+            let is = |kind: Kind| faults.iter().any(|f| f.kind == kind);
+            let slow = faults.iter().filter(|f| f.kind == Kind::DiscoverySlow).map(|f| f.size);
+            let slow = slow.fold(1.0, f64::max);
+            discovery.sick(|s| {
+                s.down = is(Kind::DiscoveryDown);
+                s.silent = is(Kind::DiscoverySilent);
+                s.slow = slow;
+            });
+            for node in 0..world.nodes.len() {
+                if let Some(link) = discovery.link(node) {
+                    link.set(passing(&faults, node, &|e: &Ends| e.discovery));
+                    discovery.door(node);
+                }
+            }
+        }
+        for (zone, ways) in world.clients.ways.iter().enumerate() {
+            for (node, way) in ways.iter().enumerate() {
+                way.link.set(passing(&faults, node, &|e: &Ends| e.clients.contains(&zone)));
+            }
+        }
+        if let Some(peers) = world.peers.get() {
+            let mut cut = std::collections::HashSet::new();
+            for i in 0..world.nodes.len() {
+                for j in (0..world.nodes.len()).filter(|j| *j != i) {
+                    if !passing(&faults, i, &|e: &Ends| e.nodes.contains(&j)).there {
+                        cut.insert((i, j));
+                    }
+                }
+            }
+            let most =
+                |kind: Kind| faults.iter().filter(|f| f.kind == kind).map(|f| f.size).fold(0.0, f64::max);
+            peers.wrong(|w| {
+                w.cut = cut;
+                w.loss = most(Kind::PeerLoss);
+                w.double = most(Kind::PeerDouble);
+            });
+        }
+    }
+
+    /// Tells discovery once it has noticed.
+    fn notice(&self, server: usize, name: String, state: &'static str, boot_ms: u64, times: f64) {
+        let world = self.world.clone();
+        let after = world.plan.machines.get(server).map_or(0.0, |m| m.notice_ms) * times;
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_secs_f64(after / 1000.0)).await;
+            if let Some(discovery) = world.discovery() {
+                discovery.note(&name, server, state, boot_ms);
+            }
+        });
+    }
+
+    fn server_name(&self, server: usize) -> String {
+        self.world.plan.machines.get(server).map(|m| m.name.clone()).unwrap_or_default()
+    }
+
+    async fn begin(&self, fault: &Fault) {
+        let world = &self.world;
+        for &s in &fault.on.servers {
+            let Some(host) = world.host(s) else { continue };
+            match fault.kind {
+                Kind::ServerDown => {
+                    host.down(false);
+                    self.notice(s, self.server_name(s), "removed", 0, 1.0);
+                }
+                Kind::ServerVanish => {
+                    host.down(true);
+                    // A machine that says nothing is noticed late.
+                    self.notice(s, self.server_name(s), "removed", 0, 3.0);
+                }
+                Kind::ServerDrain => self.notice(s, self.server_name(s), "draining", 0, 0.0),
+                Kind::ServerRestart => {
+                    self.notice(s, self.server_name(s), "draining", 0, 0.0);
+                    let (host, own) = (host.clone(), self.notice_later(s));
+                    tokio::spawn(async move {
+                        tokio::time::sleep(DRAIN).await;
+                        host.down(false);
+                        own();
+                    });
+                }
+                Kind::ServerReplace => {
+                    host.down(false);
+                    self.notice(s, self.server_name(s), "removed", 0, 0.0);
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                    host.start_cold(world.now());
+                    let name = format!("{}-r{}", self.server_name(s), fault.number);
+                    self.notice(s, name, "up", World::boot_ms(), 1.0);
+                }
+                _ => {}
+            }
+        }
+        for &n in &fault.on.nodes {
+            let Some(node) = world.nodes.get(n).cloned() else { continue };
+            let done = match fault.kind {
+                Kind::NodeKill | Kind::NodePowerLoss => {
+                    node.excuse(true);
+                    node.kill().await;
+                    Ok(())
+                }
+                Kind::NodeFreeze => {
+                    node.excuse(true);
+                    node.freeze(true);
+                    Ok(())
+                }
+                Kind::NodeStop => node.stop().await,
+                Kind::NodeUpgrade => {
+                    if let Some(next) = &self.next {
+                        node.program(next);
+                    }
+                    node.upgrade(world).await
+                }
+                Kind::NodeReload => node.reload(world).map_err(|e| e.to_string()),
+                Kind::NodeCall => self.say(&node, &fault.say).await,
+                _ => Ok(()),
+            };
+            if let Err(why) = done {
+                let now = world.now();
+                lock(&world.judge).breach(Rule::Crash, now, why);
+            }
+        }
+        if fault.kind == Kind::DiscoveryMove {
+            let Some(discovery) = world.discovery() else { return };
+            if discovery.open(world).is_ok() {
+                for node in &world.nodes {
+                    // One that cannot be told keeps asking in vain, which the day will show.
+                    let _ = node.reload(world);
+                }
+            }
+        }
+    }
+
+    fn notice_later(&self, server: usize) -> impl FnOnce() + Send + use<> {
+        let (world, name) = (self.world.clone(), self.server_name(server));
+        move || {
+            if let Some(discovery) = world.discovery() {
+                discovery.note(&name, server, "removed", 0);
+            }
+        }
+    }
+
+    /// An operator's word to a node; what it says of a server binds from the yes on.
+    async fn say(&self, node: &Node, words: &str) -> Result<(), String> {
+        let Some(operator) = node.operator() else {
+            return Err(format!("node {} is not there", node.number));
+        };
+        let answer = nodes::say(operator, words.to_owned()).await;
+        let now = self.world.now();
+        let mut said = words.split_whitespace();
+        if let (Ok(_), Some(word @ ("cordon" | "uncordon")), Some(id)) = (&answer, said.next(), said.next())
+            && let Some(server) = self.world.plan.machines.iter().position(|m| m.name == id)
+        {
+            lock(&self.world.judge).told(now, node.number, server, word == "uncordon");
+        }
+        answer.map(drop).map_err(|e| format!("node {} to {words:?}: {e}", node.number))
+    }
+
+    async fn end(&self, fault: &Fault) {
+        let world = &self.world;
+        for &s in &fault.on.servers {
+            let Some(host) = world.host(s) else { continue };
+            match fault.kind {
+                Kind::ServerDown | Kind::ServerVanish | Kind::ServerRestart => {
+                    host.start_cold(world.now());
+                    self.notice(s, self.server_name(s), "up", World::boot_ms(), 1.0);
+                }
+                Kind::ServerDrain => self.notice(s, self.server_name(s), "up", 0, 0.0),
+                _ => {}
+            }
+        }
+        for &n in &fault.on.nodes {
+            let Some(node) = world.nodes.get(n) else { continue };
+            match fault.kind {
+                Kind::NodeKill | Kind::NodePowerLoss | Kind::NodeStop => {
+                    lock(&world.judge).forgets(n);
+                    if let Err(e) = node.start(world) {
+                        let now = world.now();
+                        lock(&world.judge).breach(Rule::Crash, now, format!("node {n} cannot start: {e}"));
+                    }
+                    node.excuse(false);
+                }
+                Kind::NodeFreeze => {
+                    node.freeze(false);
+                    node.excuse(false);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Whether a trouble without a length lasts to the day's end.
+fn lasts(kind: Kind) -> bool {
+    !matches!(
+        kind,
+        Kind::Mark
+            | Kind::ServerReplace
+            | Kind::NodeKill
+            | Kind::NodePowerLoss
+            | Kind::NodeStop
+            | Kind::NodeUpgrade
+            | Kind::NodeReload
+            | Kind::NodeCall
+            | Kind::DiscoveryMove
+    )
+}
+
+/// What passes between a node and a party, by all faults of links. Where a fault names no other end, all that it
+/// does not name is meant.
+fn passing(faults: &[&Fault], node: usize, party: &dyn Fn(&Ends) -> bool) -> Passing {
+    let mut all = Passing::FREE;
+    for f in faults {
+        let one_way = f.kind == Kind::LinkOneWay;
+        if !matches!(f.kind, Kind::LinkCut | Kind::LinkOneWay | Kind::LinkDelay) {
+            continue;
+        }
+        let other = f.to == Ends::default();
+        let (node_on, party_on) = (f.on.nodes.contains(&node), party(&f.on));
+        let node_to = if other { !node_on } else { f.to.nodes.contains(&node) };
+        let party_to = if other { !party_on } else { party(&f.to) };
+        let (from_node, to_node) = (node_on && party_to, party_on && node_to);
+        if f.kind == Kind::LinkDelay {
+            if from_node || to_node {
+                all.delay_ms += f.size.max(0.0);
+            }
+        } else {
+            all.there &= !(from_node || (to_node && !one_way));
+            all.back &= !(to_node || (from_node && !one_way));
+        }
+    }
+    all
+}
+
+/// Runs something of the lab on a runtime of its own.
+///
+/// # Errors
+/// The system has no threads for it.
+pub fn block_on<F: Future>(work: F) -> io::Result<F::Output> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let done = runtime.block_on(work);
+    // What still listens or waits need not be waited for.
+    runtime.shutdown_timeout(Duration::from_millis(100));
+    Ok(done)
+}
+
+/// The node's program that lies beside this one's, or a folder above, as the build leaves them.
+pub fn beside(own: &Path, name: &str) -> Option<PathBuf> {
+    own.ancestors().skip(1).take(3).map(|dir| dir.join(name)).find(|p| p.is_file())
+}
--- /dev/null
+++ b/crates/lab/src/real/nodes.rs
@@ -0,0 +1,373 @@
+//! Nodes as processes: started with a place of their own, killed, frozen, ended, upgraded, told things.
+
+use super::World;
+use super::links::{lock, own_ip};
+use daleturn::calls::{Call, ask};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::process::{Child, Command};
+
+/// What is kept of one process's log.
+const LONGEST_LOG: usize = 16 * 1024 * 1024;
+/// Where nodes listen for clients; operators and datagrams follow.
+const ADDRESS: u32 = 200;
+/// A new process must say yes within this.
+const YES: Duration = Duration::from_secs(6);
+/// And the old one must have ended within this.
+const END: Duration = Duration::from_secs(6);
+
+/// A process of a node.
+struct Process {
+    child: Child,
+    operator: SocketAddr,
+    cpu_ns: u64,
+}
+
+/// A node: its files, and the processes that serve for it.
+pub struct Node {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where datagrams arrive.
+    pub peer_listen: SocketAddr,
+    program: Mutex<PathBuf>,
+    dir: PathBuf,
+    logs: Option<PathBuf>,
+    processes: Mutex<Vec<Process>>,
+    /// The lab has killed, frozen or stopped it: what is lost there is nobody's fault.
+    pub excused: AtomicBool,
+    /// CPU of processes that have ended, in nanoseconds.
+    spent_ns: Mutex<u64>,
+    starts: Mutex<u32>,
+}
+
+/// A free address of that ip. Another program could take the port before it is used; then the node cannot start,
+/// and says so.
+fn free(ip: std::net::Ipv4Addr) -> io::Result<SocketAddr> {
+    std::net::TcpListener::bind((ip, 0))?.local_addr()
+}
+
+impl Node {
+    /// One that has not started.
+    ///
+    /// # Errors
+    /// Its directory cannot be made.
+    pub fn new(number: usize, program: &Path, dir: &Path, logs: Option<&Path>) -> io::Result<Node> {
+        let dir = dir.join(format!("n{number}"));
+        std::fs::create_dir_all(dir.join("tmp"))?;
+        std::fs::create_dir_all(dir.join("state"))?;
+        if let Some(logs) = logs {
+            std::fs::create_dir_all(logs)?;
+        }
+        let ip = own_ip(ADDRESS + number as u32 % 30);
+        Ok(Node {
+            number,
+            listen: free(ip)?,
+            peer_listen: free(ip)?,
+            program: Mutex::new(program.to_owned()),
+            dir,
+            logs: logs.map(Path::to_owned),
+            processes: Mutex::default(),
+            excused: AtomicBool::new(false),
+            spent_ns: Mutex::new(0),
+            starts: Mutex::new(0),
+        })
+    }
+
+    /// From its next start on it is this program.
+    pub fn program(&self, program: &Path) {
+        program.clone_into(&mut lock(&self.program));
+    }
+
+    /// Where its state is to last.
+    pub fn state_dir(&self) -> PathBuf {
+        self.dir.join("state")
+    }
+
+    /// Writes its files as of now.
+    ///
+    /// # Errors
+    /// They cannot be written.
+    pub fn write(&self, world: &World) -> io::Result<()> {
+        let config = self.config(world);
+        std::fs::write(self.dir.join("config.json"), config.to_string())?;
+        let mut product = world.plan.scenario.product.clone();
+        if let Some(toml::Value::Table(state)) = product.get_mut("state") {
+            let dir = self.state_dir().to_string_lossy().into_owned();
+            state.insert("dir".to_owned(), toml::Value::String(dir));
+        }
+        std::fs::write(self.dir.join("daleturn.toml"), product.to_string())
+    }
+
+    fn config(&self, world: &World) -> Value {
+        let s = &world.plan.scenario;
+        let (peers, all) = world.peer_addresses(self.number).unwrap_or_default();
+        let discovery = world.discovery().and_then(|d| d.address(self.number));
+        json!({
+            "name": format!("n{}", self.number), "listen": self.listen.to_string(),
+            "discovery": discovery.map(|d| d.to_string()), "seed": format!("{:016x}", world.plan.seed ^ self.number as u64),
+            "limits": {"cores": 1.0, "memory_mb": s.fleet.memory_mb, "sockets": s.fleet.sockets},
+            "peer_listen": self.peer_listen.to_string(), "peers": peers, "peers_all": all,
+            "known": world.discovery().map(|d| d.known(world, self.number)),
+            "settings": settings(world, self.number),
+        })
+    }
+
+    /// Starts a process, beside another one if there is one.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start(&self, world: &World) -> io::Result<SocketAddr> {
+        self.write(world)?;
+        let operator = free(own_ip(ADDRESS + self.number as u32 % 30))?;
+        let limit = format!("ulimit -n {}; exec \"$0\" \"$@\"", world.plan.scenario.fleet.sockets);
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", &limit])
+            .arg(&*lock(&self.program))
+            .args(&world.node_args)
+            .env_clear()
+            .env("PATH", std::env::var_os("PATH").unwrap_or_default())
+            .env("LB_NAME", format!("n{}", self.number))
+            .env("LB_LISTEN", self.listen.to_string())
+            .env("LB_CONFIG", self.dir.join("config.json"))
+            .env("LB_OPERATOR", operator.to_string())
+            .env("TMPDIR", self.dir.join("tmp"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true);
+        if !world.plan.scenario.product.is_empty() {
+            command.env("DALETURN_CONFIG", self.dir.join("daleturn.toml"));
+        }
+        let mut child = command.spawn()?;
+        if world.plan.scenario.fleet.pin
+            && let Some(pid) = pid(&child)
+        {
+            let mut cores = rustix::thread::CpuSet::new();
+            cores.set(self.number % std::thread::available_parallelism().map_or(1, usize::from));
+            // Without it the system chooses.
+            let _ = rustix::thread::sched_setaffinity(Some(pid), &cores);
+        }
+        let starts = {
+            let mut starts = lock(&self.starts);
+            *starts += 1;
+            *starts
+        };
+        if let Some(stderr) = child.stderr.take() {
+            let file = self.logs.as_ref().map(|l| l.join(format!("n{}-{starts}.log", self.number)));
+            tokio::spawn(keep_log(stderr, file));
+        }
+        lock(&self.processes).push(Process { child, operator, cpu_ns: 0 });
+        Ok(operator)
+    }
+
+    fn signal(&self, signal: Signal) {
+        for process in lock(&self.processes).iter() {
+            if let Some(pid) = pid(&process.child) {
+                // One that has ended meanwhile needs none.
+                let _ = kill_process(pid, signal);
+            }
+        }
+    }
+
+    /// SIGKILL to all of its processes, and waits until they are gone.
+    pub async fn kill(&self) {
+        let processes = std::mem::take(&mut *lock(&self.processes));
+        for mut process in processes {
+            self.count(&mut process);
+            let _ = process.child.kill().await;
+        }
+    }
+
+    /// SIGSTOP, or its end.
+    pub fn freeze(&self, frozen: bool) {
+        self.signal(if frozen { Signal::STOP } else { Signal::CONT });
+    }
+
+    /// New files and SIGHUP.
+    ///
+    /// # Errors
+    /// The files cannot be written.
+    pub fn reload(&self, world: &World) -> io::Result<()> {
+        self.write(world)?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
+    /// SIGTERM to its oldest process, and waits for its end; what does not end is killed, and said.
+    pub async fn stop(&self) -> Result<(), String> {
+        let Some(mut old) = ({
+            let mut processes = lock(&self.processes);
+            (!processes.is_empty()).then(|| processes.remove(0))
+        }) else {
+            return Ok(());
+        };
+        // Once it has ended the system has forgotten what it used.
+        look(&mut old);
+        if let Some(pid) = pid(&old.child) {
+            let _ = kill_process(pid, Signal::TERM);
+        }
+        let ended = tokio::time::timeout(END, old.child.wait()).await;
+        self.count(&mut old);
+        match ended {
+            Ok(Ok(status)) if status.success() => Ok(()),
+            Ok(status) => Err(format!("node {} ended after SIGTERM: {status:?}", self.number)),
+            Err(_) => {
+                let _ = old.child.kill().await;
+                Err(format!("node {} did not end within {} s of SIGTERM", self.number, END.as_secs()))
+            }
+        }
+    }
+
+    /// The next process starts beside the old one, says yes, and takes over.
+    ///
+    /// # Errors
+    /// It does not start, does not say yes in time, or the old one does not end.
+    pub async fn upgrade(&self, world: &World) -> Result<(), String> {
+        let operator = self.start(world).map_err(|e| e.to_string())?;
+        let end = tokio::time::Instant::now() + YES;
+        loop {
+            let yes =
+                tokio::task::spawn_blocking(move || ask(operator, &Call::Health, Duration::from_secs(1)))
+                    .await;
+            if matches!(yes, Ok(Ok(Ok(_)))) {
+                return self.stop().await;
+            }
+            if tokio::time::Instant::now() > end {
+                return Err(format!("the new process of node {} said no yes", self.number));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Where its newest process hears operators.
+    pub fn operator(&self) -> Option<SocketAddr> {
+        lock(&self.processes).last().map(|p| p.operator)
+    }
+
+    /// A process of it has ended by itself.
+    pub fn crashed(&self) -> Option<String> {
+        let mut processes = lock(&self.processes);
+        let n = processes.iter_mut().position(|p| matches!(p.child.try_wait(), Ok(Some(_)) | Err(_)))?;
+        let mut gone = processes.remove(n);
+        Some(format!("node {} ended by itself: {:?}", self.number, gone.child.try_wait()))
+    }
+
+    fn count(&self, process: &mut Process) {
+        look(process);
+        *lock(&self.spent_ns) += process.cpu_ns;
+    }
+
+    /// CPU that it has used, in nanoseconds.
+    pub fn cpu_ns(&self) -> u64 {
+        let mut processes = lock(&self.processes);
+        processes.iter_mut().for_each(look);
+        *lock(&self.spent_ns) + processes.iter().map(|p| p.cpu_ns).sum::<u64>()
+    }
+
+    /// Memory that its newest process holds, in kB.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let pid = lock(&self.processes).last()?.child.id()?;
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
+    }
+
+    /// It is excused from here on, or no more.
+    pub fn excuse(&self, excused: bool) {
+        self.excused.store(excused, Ordering::SeqCst);
+    }
+}
+
+fn pid(child: &Child) -> Option<Pid> {
+    child.id().and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw)
+}
+
+/// What the system has counted for it, in ticks of a hundredth of a second; exact enough over a whole day.
+fn look(process: &mut Process) {
+    const TICK_NS: u64 = 10_000_000;
+    let Some(id) = process.child.id() else { return };
+    let Ok(stat) = std::fs::read_to_string(format!("/proc/{id}/stat")) else { return };
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+    process.cpu_ns = process.cpu_ns.max((ticks(11) + ticks(12)) * TICK_NS);
+}
+
+/// Reads a log to its end, and keeps the beginning of it: a node that writes without end fills no disk.
+async fn keep_log(mut from: tokio::process::ChildStderr, into: Option<PathBuf>) {
+    let mut file = match into {
+        Some(path) => tokio::fs::File::create(path).await.ok(),
+        None => None,
+    };
+    let (mut piece, mut kept) = (vec![0; 16 * 1024], 0);
+    while let Ok(n @ 1..) = from.read(&mut piece).await {
+        kept += n;
+        if let (Some(file), true, Some(bytes)) = (&mut file, kept <= LONGEST_LOG, piece.get(..n)) {
+            let _ = file.write_all(bytes).await;
+        }
+    }
+    if let Some(mut file) = file {
+        let _ = file.flush().await;
+    }
+}
+
+/// The settings that a node is told, in the platform's form.
+fn settings(world: &World, node: usize) -> Value {
+    use crate::scenario::Repeat;
+    let s = &world.plan.scenario;
+    let classes: Vec<Value> = s
+        .class
+        .iter()
+        .map(|c| {
+            let semantics = match c.repeat {
+                Repeat::Safe => "idempotent",
+                Repeat::Once => "at_most_once",
+                Repeat::Keyed => "deduplicated",
+            };
+            json!({"name": c.name, "semantics": semantics, "group": "zone", "keyTtlMs": c.key_ttl_ms,
+                   "objectiveMs": c.aim_ms, "hardLimitMs": c.deadline_ms, "value": c.worth, "lateValue": c.late})
+        })
+        .collect();
+    let tenants: Vec<Value> =
+        s.tenant.iter().map(|t| json!({"name": t.name, "quotaRps": t.quota_rps})).collect();
+    let zone = world.plan.node_zones.get(node).and_then(|z| s.fleet.zones.get(*z));
+    json!({
+        "areas": s.fleet.zones, "zone": zone, "instances": s.fleet.nodes, "slotNo": node, "tickMs": 5.0,
+        "membershipMode": if s.discovery.asked { "on_request" } else { "pushed" },
+        "classes": classes, "tenants": tenants, "worthBy": "work", "overShareWorth": 0.1, "weights": "none",
+        "blend": {"whole": 0.45, "worstWindow": 0.15, "worstClass": 0.3, "worstTenant": 0.1},
+        "prices": {"crossZone": s.rules.cross_price, "waste": 0.04, "probe": 0.0068, "peer": 0.015, "lateFail": 0.027},
+        "reporting": {"via": "probe", "names": ["inflight"]},
+        "familyInfo": {"warmKeys": s.fleet.key_saving > 0.0},
+        "limits": {"attemptsCap": s.rules.attempts, "connIdleMs": 15000.0, "connectTimeoutMs": 150.0,
+                   "mayCancel": true, "maxRetryAfterMs": 2000.0, "maxStreams": 1, "openCap": 20000,
+                   "peerMessages": s.rules.peers, "probing": s.rules.probes, "secondCopies": s.rules.second_copies},
+        "rules": {"coldMs": s.fleet.cold_s * 1000.0, "startCapacity": s.fleet.cold_from,
+                  "fallMultiple": s.rules.fall_multiple, "fallMs": s.rules.fall_s * 1000.0,
+                  "drainGraceMs": s.rules.drain_ms, "mustAskInMs": 6000.0},
+    })
+}
+
+/// What an operator said, and what came back.
+pub async fn say(operator: SocketAddr, words: String) -> Result<String, String> {
+    let call = Call::parse(words.as_bytes()).map_err(|e| e.to_string())?;
+    let asked = tokio::task::spawn_blocking(move || ask(operator, &call, Duration::from_secs(2))).await;
+    match asked {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
+/// Nodes by number.
+pub type Nodes = Vec<Arc<Node>>;
--- /dev/null
+++ b/crates/lab/src/stats.rs
@@ -0,0 +1,69 @@
+//! Means with intervals, and agreement of orders: what a few plays of a day say, and what they do not.
+
+use serde::Serialize;
+
+/// Student's t at 97.5 %, by degrees of freedom from 1; beyond the table 1.96.
+const T: [f64; 30] = [
+    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145,
+    2.131, 2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048,
+    2.045, 2.042,
+];
+
+/// A mean with its interval.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Mean {
+    /// How many figures it is of.
+    pub n: usize,
+    /// The mean.
+    pub mean: f64,
+    /// Half the width of its interval at 95 %; infinite for fewer than two figures.
+    pub half: f64,
+}
+
+/// The mean of some figures.
+pub fn mean(figures: &[f64]) -> Mean {
+    let n = figures.len();
+    if n == 0 {
+        return Mean { n, mean: f64::NAN, half: f64::INFINITY };
+    }
+    let mean = figures.iter().sum::<f64>() / n as f64;
+    if n < 2 {
+        return Mean { n, mean, half: f64::INFINITY };
+    }
+    let variance = figures.iter().map(|f| (f - mean).powi(2)).sum::<f64>() / (n - 1) as f64;
+    let t = T.get(n - 2).copied().unwrap_or(1.96);
+    Mean { n, mean, half: t * (variance / n as f64).sqrt() }
+}
+
+/// The mean of what `b` has more than `a`, pair by pair: what moved both alike cancels.
+pub fn paired(a: &[f64], b: &[f64]) -> Mean {
+    mean(&a.iter().zip(b).map(|(a, b)| b - a).collect::<Vec<f64>>())
+}
+
+impl Mean {
+    /// It is not zero, as far as these figures tell.
+    pub fn shows(&self) -> bool {
+        self.mean.abs() > self.half
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_interval_is_students() {
+        let m = mean(&[1.0, 2.0, 3.0]);
+        assert!((m.mean - 2.0).abs() < 1e-12);
+        assert!((m.half - 4.303 / 3f64.sqrt()).abs() < 1e-9, "{}", m.half);
+        assert!(mean(&[5.0]).half.is_infinite() && mean(&[]).mean.is_nan());
+    }
+
+    #[test]
+    fn what_moves_both_alike_cancels_in_pairs() {
+        let a = [0.5, 0.9, 0.7, 0.6];
+        let b: Vec<f64> = a.iter().map(|v| v + 0.01).collect();
+        assert!(paired(&a, &b).shows());
+        assert!(!paired(&a, &[0.6, 0.8, 0.8, 0.5]).shows());
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod platform;
 pub mod policy;
 pub mod tally;
+pub mod tomlfile;
 mod view;
 pub mod wire;
 
--- a/src/options.rs
+++ b/src/options.rs
@@ -11,16 +11,14 @@
 //! // An error names the line and the key.
 //! let wrong = Options::parse("[log]\n\nlines_per_second = 0\n").unwrap_err();
 //! assert!(wrong.to_string().starts_with("line 3: log.lines_per_second: "), "{wrong}");
-//! # Ok::<(), daleturn::options::OptionsError>(())
+//! # Ok::<(), daleturn::tomlfile::TomlError>(())
 //! ```
 
-use crate::files::{FileError, read_text};
+use crate::files::read_text;
+use crate::tomlfile::{self, TomlError};
 use serde::{Deserialize, Deserializer, Serialize};
 use std::collections::BTreeMap;
-use std::ops::Range;
 use std::path::Path;
-use thiserror::Error;
-use toml::de::{DeTable, DeValue};
 
 /// The variable that names the file.
 pub const VARIABLE: &str = "DALETURN_CONFIG";
@@ -110,42 +108,12 @@
     }
 }
 
-/// The first key that holds something else where a table belongs: an array would be read as its values in turn.
-fn not_a_table(at: &str, content: &DeTable<'_>, known: &toml::Table) -> Option<(Range<usize>, String)> {
-    content.iter().find_map(|(key, value)| {
-        let known = known.get(key.get_ref().as_ref())?.as_table()?;
-        let path = format!("{at}{}", key.get_ref());
-        match value.get_ref() {
-            DeValue::Table(table) => not_a_table(&format!("{path}."), table, known),
-            _ => Some((key.span(), path)),
-        }
-    })
-}
-
 fn within<'de, D: Deserializer<'de>, const LEAST: u32, const MOST: u32>(from: D) -> Result<u32, D::Error> {
     let value = i64::deserialize(from)?;
     let fits = u32::try_from(value).ok().filter(|v| (LEAST..=MOST).contains(v));
     fits.ok_or_else(|| serde::de::Error::custom(format!("{value} is not within {LEAST} to {MOST}")))
 }
 
-/// Why a file is not taken.
-#[derive(Debug, Error)]
-pub enum OptionsError {
-    /// It cannot be read.
-    #[error(transparent)]
-    File(#[from] FileError),
-    /// It is no TOML, or says what cannot be.
-    #[error("line {line}: {}{reason}", if .key.is_empty() { String::new() } else { format!("{key}: ") })]
-    Content {
-        /// Where.
-        line: usize,
-        /// At which key, as far as that was reached.
-        key: String,
-        /// Why.
-        reason: String,
-    },
-}
-
 impl Options {
     /// Reads the file that `DALETURN_CONFIG` names; the defaults where it names none.
     ///
@@ -163,7 +131,7 @@
     ///
     /// # Errors
     /// It cannot be read, is no TOML, has a key that nobody knows or one of another type or range.
-    pub fn read(path: &Path) -> Result<Options, OptionsError> {
+    pub fn read(path: &Path) -> Result<Options, TomlError> {
         Options::parse(&read_text(path, LONGEST)?)
     }
 
@@ -171,22 +139,8 @@
     ///
     /// # Errors
     /// As above.
-    pub fn parse(text: &str) -> Result<Options, OptionsError> {
-        let wrong = |key: String, e: &toml::de::Error| {
-            let before = text.get(..e.span().map_or(0, |s| s.start)).unwrap_or_default();
-            let line = before.matches('\n').count() + 1;
-            let reason = e.message().split_whitespace().collect::<Vec<_>>().join(" ");
-            let key = if key == "." { String::new() } else { key };
-            OptionsError::Content { line, key, reason }
-        };
-        let parsed = DeTable::parse(text).map_err(|e| wrong(String::new(), &e))?;
-        let known = toml::Table::try_from(Options::default()).unwrap_or_default();
-        if let Some((span, key)) = not_a_table("", parsed.get_ref(), &known) {
-            let line = text.get(..span.start).unwrap_or_default().matches('\n').count() + 1;
-            return Err(OptionsError::Content { line, key, reason: "not a table".to_owned() });
-        }
-        let content = toml::Deserializer::from(parsed);
-        serde_path_to_error::deserialize(content).map_err(|e| wrong(e.path().to_string(), e.inner()))
+    pub fn parse(text: &str) -> Result<Options, TomlError> {
+        tomlfile::parse(text)
     }
 }
 
