Count connections that close under requests as lost once they are many

Change: such closes are counted, but for nodes that the lab killed; beyond 8 and one try in 200 they are lost requests.

--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -22,6 +22,8 @@
 const FORGET_MS: f64 = 10_000.0;
 /// Part of the worth that is left of what a tenant asks beyond its share.
 const OVER_SHARE: f64 = 0.1;
+/// Requests that may meet a connection that closes, in all and as a part of the tries: the close may cross them.
+const MAY_CROSS: (u64, f64) = (8, 0.005);
 /// Part of the tries that may be held: connections that never came up take their time.
 const MAY_BE_HELD: f64 = 0.005;
 /// A breach is shown in full so many times; then it is counted.
@@ -478,7 +480,7 @@
         self.troubles.push(Trouble { name: format!("{number} {kind}"), at, until });
     }
 
-    /// A request was sent again since its connection closed under it.
+    /// A connection closed under a request before anything came for it.
     pub fn crossed(&mut self) {
         self.crossed += 1;
     }
@@ -549,6 +551,10 @@
         if (held as f64) <= MAY_BE_HELD * self.tried as f64 {
             broken.remove(&Rule::Held);
         }
+        let may_cross = MAY_CROSS.0.max((MAY_CROSS.1 * self.tried as f64) as u64);
+        if self.crossed > may_cross {
+            *broken.entry(Rule::Lost).or_default() += self.crossed;
+        }
         Figures {
             held,
             worth,
@@ -621,7 +627,7 @@
     pub failed: u64,
     /// Tries that were sent nowhere and refused after more than half of their time.
     pub held: u64,
-    /// Requests sent again since their connection closed under them.
+    /// Requests whose connection closed under them before anything came.
     pub crossed: u64,
     /// Attempts for each try that had any.
     pub attempts: f64,
--- a/crates/lab/src/real/clients.rs
+++ b/crates/lab/src/real/clients.rs
@@ -315,6 +315,14 @@
         }
     }
 
+    /// The node closed a connection under it, and was not made to by the lab.
+    fn closed(&self) {
+        let node = self.world.nodes.get(self.node);
+        if !self.world.ending() && !node.is_some_and(|n| n.excused.load(Ordering::SeqCst)) {
+            lock(&self.world.judge).crossed();
+        }
+    }
+
     /// Sends it and waits, on a kept connection if there is one; a kept one may be closed as it is sent, and then
     /// it goes once more on a new one.
     async fn exchange(&self, id: u64, slow_ms: f64) -> (Answer, Option<f64>) {
@@ -345,10 +353,12 @@
             match tokio::time::timeout_at(end, exchange).await {
                 Err(_) => return (Answer::Silence, None),
                 Ok(Err(e)) if !fresh && (e.is_canceled() || e.is_incomplete_message() || e.is_closed()) => {
-                    lock(&world.judge).crossed();
+                    self.closed();
                 }
-                // A new connection that is closed before anything came for its first request: failed, not lost.
+                // A new connection that is closed before anything came for its first request: failed, not lost,
+                // while such are few.
                 Ok(Err(e)) if e.is_canceled() || e.is_incomplete_message() => {
+                    self.closed();
                     return (Answer::Failed, None);
                 }
                 Ok(Err(_)) => return (Answer::Lost, None),
