Keep traffic in its zone while the zone's servers carry it

Change: near.rs learns that weight: a hundredth at ease, growing while the own zone's strain exceeds the others' by a third of a crossing's price, falling back four times as slowly.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod cold;
 mod fleet;
 mod gates;
+mod near;
 mod peers;
 mod pick;
 mod record;
@@ -23,6 +24,7 @@
 use crate::tally::Tally;
 use admission::Admission;
 pub(crate) use cap::Cap;
+use near::Nearness;
 use pick::Place;
 use record::Record;
 use std::collections::HashMap;
@@ -64,6 +66,7 @@
     open: HashMap<RequestId, Open>,
     pub(crate) learned: Vec<Learned>,
     keys: KeyCounts,
+    near: Nearness,
     pub(crate) admission: Admission,
     pub(crate) tally: Tally,
     /// Share of recent attempts, over all backends, that failed to connect or answer.
@@ -95,6 +98,7 @@
             open: HashMap::new(),
             learned: Vec::new(),
             keys: KeyCounts::new(),
+            near: Nearness::default(),
             admission: Admission { level: 1.0, room: 1.0, retry: 3.0, spill: 3.0, ..Admission::default() },
             tally: Tally::default(),
             fleet_failing: 0.0,
@@ -180,6 +184,7 @@
         }
         self.ticked = now;
         self.keys.fade(seconds);
+        self.near.tick(seconds, self.s.prices.cross_zone);
         self.place(now);
         let up = self.backends.iter().filter(|b| b.up).count().max(1) as f64;
         let shut = |b: &&Backend| b.up && (b.record.congested || b.cap.blocks(now, b.in_flight));
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -11,9 +11,6 @@
 const PRESSURE_ODDS: f64 = 2.5;
 /// Keys that one with a backend's mean share of the traffic counts as, beyond the first.
 const HOT_KEY_PARTS: f64 = 4.0;
-/// Weight of a candidate beyond this node's zone, where crossing is priced: enough of them are left for a
-/// zone with more traffic than its own can carry, and a key keeps few homes.
-const FAR: f64 = 0.5;
 
 /// A backend's place in rendezvous hashing: small, since each request walks all of them.
 #[derive(Clone, Copy, Debug)]
@@ -26,8 +23,8 @@
 impl Balancer {
     /// Rebuilds the table that keyed candidates are looked up in.
     pub(super) fn place(&mut self, now: f64) {
-        let far = |b: &Backend| self.s.zone.is_some_and(|z| z != b.zone) && self.s.prices.cross_zone > 0.0;
-        let ramp = |b: &Backend| cold::ramp(&self.s, now - b.cold_since) * if far(b) { FAR } else { 1.0 };
+        let near = |b: &Backend| if self.far(b.zone) { self.near.weight } else { 1.0 };
+        let ramp = |b: &Backend| cold::ramp(&self.s, now - b.cold_since) * near(b);
         self.places = (self.backends.iter().enumerate())
             .filter(|(_, b)| b.up)
             .map(|(index, b)| Place { salt: mix(b.id.0), per_weight: 1.0 / (b.units * ramp(b)), index })
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -218,7 +218,11 @@
         };
         let broken = matches!(outcome, Outcome::NotConnected | Outcome::Reset);
         let failed = broken || outcome == Outcome::TimedOut;
+        let far = self.far(self.backends[i].zone);
         let b = &mut self.backends[i];
+        if !broken {
+            self.near.note(far, strain);
+        }
         // A full or unreachable backend is its own matter; the request goes elsewhere.
         if !broken && outcome != Outcome::Full && !b.record.congested {
             self.admission.evidence.note(worth * (1.0 - strain), worth * strain, 1.0);
