Keep operators' words, the list and what was learned over crash and power loss

Need: a killed node forgot which servers were under repair and began from nothing. Off without state.dir. Options rejected: writing from the loop (a slow disk would stall who is served); trusting TMPDIR (it is memory).

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod lab;
 mod page;
+mod state;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
@@ -43,6 +44,9 @@
         /// Which
         name: String,
     },
+    /// Looks at a node's state directory, also while the node has it
+    #[command(subcommand)]
+    State(state::Command),
     /// Prints a script that completes this command in a shell
     #[command(after_help = "Example:\n  daleturn completions bash > /etc/bash_completion.d/daleturn")]
     Completions {
@@ -57,6 +61,7 @@
         Command::Config(command) => config::run(&command).map(|()| ExitCode::SUCCESS),
         Command::Demo { node } => lab::demo(node.as_deref()),
         Command::Lab(command) => lab::run(&command),
+        Command::State(command) => state::run(&command).map(|()| ExitCode::SUCCESS),
         Command::Baseline { name } => lab::baseline(&name),
         Command::Completions { shell } => {
             let mut script = Vec::new();
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -661,7 +661,7 @@
         if let (Ok(_), Some(word @ ("cordon" | "uncordon")), Some(id)) = (&answer, said.next(), said.next())
             && let Some(server) = self.world.plan.machines.iter().position(|m| m.name == id)
         {
-            lock(&self.world.judge).told(now, node.number, server, word == "uncordon");
+            lock(&self.world.judge).word(now, node.number, server, word == "cordon");
         }
         answer.map(drop).map_err(|e| format!("node {} to {words:?}: {e}", node.number))
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -349,8 +349,8 @@
             self.disk.sync(&draft)?;
             self.disk.append(&log, &header(generation))?;
             self.disk.sync(&log)?;
-            // The snapshot's name is what makes the generation: it comes last, when all else is durable.
-            self.disk.sync_names()?;
+            // The snapshot's name is what makes the generation: it comes last. A journal whose own name was lost
+            // before that is empty.
             self.disk.rename(&draft, &name(generation, "snap"))?;
             self.disk.sync_names()
         })();
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -42,6 +42,11 @@
 }
 
 impl Listing {
+    /// Its version.
+    pub fn version(&self) -> u64 {
+        self.rev
+    }
+
     /// The version that a watch may go on from: none of an empty list or of one that was not read whole.
     pub fn complete(&self) -> Option<u64> {
         (self.all && self.skipped == 0 && !self.targets.is_empty()).then_some(self.rev)
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -494,6 +494,55 @@
         self.take(Input::Memory(Box::new(memory)));
     }
 
+    /// Whether a word outlives this process.
+    pub fn lasts(&self) -> bool {
+        self.state.lasts()
+    }
+
+    /// These are out, too, by words from before this start.
+    pub fn still_out(self: &Rc<Self>, uids: &[String]) {
+        let mut cordoned = self.core.borrow().cordoned.clone();
+        cordoned.extend(uids.iter().map(|uid| (BackendId(stable_hash(uid)), uid.clone())));
+        self.take(Input::Cordoned(cordoned));
+    }
+
+    /// Who is out by the operators' word.
+    pub fn out(&self) -> Vec<String> {
+        self.core.borrow().cordoned.values().cloned().collect()
+    }
+
+    /// Whether a backend is listed, or out.
+    ///
+    /// # Errors
+    /// It is neither.
+    pub fn check(&self, uid: &str) -> Result<(), CordonError> {
+        self.known(uid).map(drop)
+    }
+
+    /// The list that is known, in discovery's form.
+    pub fn list_text(&self, rules: &Rules) -> String {
+        let core = self.core.borrow();
+        let state = |health| match health {
+            Health::Up => "up",
+            Health::Draining => "draining",
+            Health::Gone => "removed",
+        };
+        let targets: Vec<Value> = (core.listed.values())
+            .map(|t| {
+                let (e, endpoint) = (&t.entry, t.address.map(|a| a.to_string()));
+                json!({"uid": &*t.uid, "endpoint": endpoint, "az": rules.names.zone_name(e.zone),
+                       "pod_group": e.cell, "state": state(e.health), "capacity_hint": e.units,
+                       "boot_ms": e.ready_at_ms})
+            })
+            .collect();
+        json!({"rev": self.version.get().unwrap_or(0), "all": true, "targets": targets}).to_string()
+    }
+
+    /// The version of the list that is known.
+    pub fn version(&self) -> Option<u64> {
+        self.version.get()
+    }
+
     /// Takes a backend out: from here on it counts as draining, whatever is listed.
     pub fn cordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
         let id = self.known(uid)?;
@@ -501,7 +550,7 @@
         let mut cordoned = self.core.borrow().cordoned.clone();
         cordoned.insert(id, uid.to_owned());
         self.take(Input::Cordoned(cordoned));
-        Ok(format!("{uid} is out{}", if self.state.lasts() { "" } else { ", until this process ends" }))
+        Ok(format!("{uid} is out"))
     }
 
     /// Puts a backend back: from here on it is what discovery lists it as.
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -3,6 +3,7 @@
 mod body;
 mod discovery;
 mod driver;
+mod durable;
 mod framing;
 mod handover;
 mod log;
@@ -18,6 +19,7 @@
 
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
+use crate::durable::{Durable, Kept};
 use crate::handover::Handover;
 use crate::log::{Log, say};
 use crate::operator::Operator;
@@ -25,7 +27,7 @@
 use crate::rules::Current;
 use crate::server::Server;
 use crate::socket::{Descriptors, UNCOUNTED};
-use crate::state::State;
+use crate::state::{State, memory_from, memory_text};
 use crate::upstream::Upstream;
 use daleturn::Balancer;
 use daleturn::interface::{Discovery, ListKind};
@@ -47,6 +49,9 @@
 const BACKLOG: u32 = 1024;
 /// How often idle connections to backends are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
+/// How often it is looked what is to be stored, at least; and how many such looks apart what was learned is.
+const KEEP: Duration = Duration::from_secs(1);
+const LEARN_EVERY: u64 = 3;
 /// SIGKILL follows SIGTERM by the longest deadline, this at most, and 0.7 s; what has no answer shortly
 /// before that is failed.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
@@ -113,6 +118,27 @@
     Duration::from_secs(options.stats.window_s.into())
 }
 
+/// Stores what was learned, and who is out, once a second at most, each node at a moment of its own.
+async fn keep(durable: Rc<Durable>, driver: Rc<Driver>, rules: Rc<Current>) {
+    let mut out = driver.out();
+    let mut had = durable.condition().incarnation.is_some();
+    for turn in 0_u64.. {
+        tokio::time::sleep(KEEP.mul_f64(1.0 + 0.5 * fastrand::f64())).await;
+        let has = durable.condition().incarnation.is_some();
+        let now = driver.out();
+        // A call may have reached another process of this node, or this one has just got the directory.
+        if now != out || has != had {
+            durable.cordons(now.clone());
+        }
+        (out, had) = (now, has);
+        if turn % LEARN_EVERY == 0 {
+            let rules = rules.get();
+            let learned = memory_text(&driver.memory(), &rules.names);
+            durable.learned(driver.version(), turn, || driver.list_text(&rules), learned);
+        }
+    }
+}
+
 async fn run(config: Config, options: Options, log: Rc<Log>) -> Result<(), Box<dyn Error>> {
     let started = Instant::now();
     let mut terminate = signal(SignalKind::terminate())?;
@@ -126,6 +152,17 @@
         None => None,
     };
     let state = Rc::new(State::open(config.listen));
+    let (durable, kept) = match options.state.dir.as_str() {
+        "" => (None, Kept::default()),
+        dir => {
+            let (durable, kept) = Durable::open(dir.into());
+            (Some(durable), kept)
+        }
+    };
+    for uid in &kept.cordons {
+        // So that another process of this node knows it, too; without a place for that it holds here.
+        let _ = state.cordon(uid);
+    }
     let rules = Current::new(config.settings, config.names, config.digest);
     let settings = rules.get().settings.clone();
     let reserved = if operators.is_some() { operator::DESCRIPTORS } else { 0 };
@@ -155,13 +192,27 @@
         wish,
         window(&options),
     );
+    driver.still_out(&kept.cordons);
     driver.take(Input::Start);
-    let known = discovery::listing(&config.known, &rules.get().names);
+    let names = &rules.get().names;
+    let known = discovery::listing(&config.known, names);
+    let last = kept.list.as_deref().and_then(|text| serde_json::from_str(text).ok());
+    let last = last.and_then(|json| discovery::listing(&json, names));
+    // Of two the one that was made later, as far as their versions tell.
+    let known = match (known, last) {
+        (Some(known), Some(last)) if known.version() >= last.version() => Some(known),
+        (known, None) => known,
+        (_, last) => last,
+    };
     let version = known.as_ref().and_then(discovery::Listing::complete);
     driver.list_version(version);
     if let Some(known) = known {
         driver.take(Input::List(ListKind::Saved, known.targets));
     }
+    if let Some(memory) = kept.learned.as_deref().and_then(|text| memory_from(text, names)) {
+        say!(INFO, "state", backends = memory.backends.len(), "state.remembers");
+        driver.remember(memory);
+    }
     let (discovery, address) = watch::channel((config.discovery, settings.discovery));
     let reloading = Reloading {
         rules: rules.clone(),
@@ -195,9 +246,12 @@
         }
     });
     let server = Server::new(driver.clone(), upstream.clone(), rules.clone(), descriptors.clone());
-    for uid in state.cordoned().values() {
+    for uid in driver.out() {
         say!(INFO, "operator", backend = uid.as_str(), "operator.still_out");
     }
+    if let Some(durable) = durable.clone() {
+        spawn_local(keep(durable, driver.clone(), rules.clone()));
+    }
     if let Some(listener) = operators {
         let descriptors = descriptors.clone();
         let operator = Operator {
@@ -208,6 +262,7 @@
             upstream: upstream.clone(),
             peers: peers.clone(),
             log,
+            durable: durable.clone(),
             name: config.name.clone(),
             started,
             memory: config.memory,
@@ -235,6 +290,13 @@
         let server = server.clone();
         spawn_local(async move { server.accept(listener).await })
     };
+    if kept.quiesced {
+        // Once it takes clients, and before it has answered any.
+        tokio::task::yield_now().await;
+        if let Err(why) = server.quiesce() {
+            say!(ERROR, "operator", why, "operator.not_quiesced");
+        }
+    }
     terminate.recv().await;
     let longest = rules.get().settings.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let longest = Duration::from_secs_f64(longest.clamp(0.0, 1e6) / 1000.0).min(LONGEST_DEADLINE);
@@ -251,6 +313,9 @@
     // Better failed than lost: what is still open would be cut by the end of the process.
     driver.end_all();
     server.wind_down(Instant::now() + FAREWELL).await;
+    if let Some(durable) = durable {
+        durable.close();
+    }
     Ok(())
 }
 
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -1,6 +1,7 @@
 //! The operators' address: one call to a connection, one line back, then it closes.
 
 use crate::driver::Driver;
+use crate::durable::Durable;
 use crate::log::{Log, say};
 use crate::peers::Peers;
 use crate::rules::Current;
@@ -60,6 +61,8 @@
     pub peers: Option<Rc<Peers>>,
     /// Lines that were dropped.
     pub log: Rc<Log>,
+    /// What survives the machine, where there is a place for it.
+    pub durable: Option<Rc<Durable>>,
     /// The node's name.
     pub name: String,
     /// When the process started.
@@ -98,7 +101,11 @@
         let line = line.unwrap_or(Err(CallError::Late(CALL_TIME.as_secs())));
         let call = line.as_deref().map_err(ToString::to_string);
         let answer = call.and_then(|l| Call::parse(l).map_err(|e| e.to_string()));
-        let answer = match answer.and_then(|call| self.carry_out(&call)) {
+        let said = match answer {
+            Ok(call) => self.carry_out(&call).await,
+            Err(why) => Err(why),
+        };
+        let answer = match said {
             Ok(text) => format!("OK {text}\n"),
             Err(reason) => format!("ERR {reason}\n"),
         };
@@ -113,10 +120,31 @@
         .await;
     }
 
-    fn carry_out(&self, call: &Call) -> Result<String, String> {
+    /// A word that is to outlive this machine is on its disk before it holds, and before it is answered.
+    async fn store(&self, call: &Call) -> Result<(), String> {
+        let Some(durable) = &self.durable else { return Ok(()) };
+        let stored = match call {
+            Call::Cordon(id) | Call::Uncordon(id) => {
+                self.driver.check(id).map_err(|e| e.to_string())?;
+                durable.cordon(id, matches!(call, Call::Cordon(_))).await
+            }
+            Call::Quiesce | Call::Resume if self.server.health().is_ok() => {
+                durable.quiesce(matches!(call, Call::Quiesce)).await
+            }
+            _ => Ok(()),
+        };
+        stored.map_err(|why| format!("nothing changed, it cannot be stored: {why}"))
+    }
+
+    async fn carry_out(&self, call: &Call) -> Result<String, String> {
+        self.store(call).await?;
         let said = match call {
             Call::Health => return self.health(),
-            Call::Cordon(id) => self.driver.cordon(id).map_err(|e| e.to_string())?,
+            Call::Cordon(id) => {
+                let said = self.driver.cordon(id).map_err(|e| e.to_string())?;
+                let lasts = self.durable.is_some() || self.driver.lasts();
+                said + if lasts { "" } else { ", until this process ends" }
+            }
             Call::Uncordon(id) => self.driver.uncordon(id).map_err(|e| e.to_string())?,
             Call::Quiesce => self.server.quiesce()?,
             Call::Resume => self.server.resume()?,
@@ -141,6 +169,9 @@
         json["descriptors"] = json!({"used": self.descriptors.used(), "limit": self.descriptors.limit(),
             "clients": self.server.clients(), "idle_upstream": self.upstream.idle()});
         json["memory"] = json!({"used_kb": resident_kb(), "limit_kb": self.memory / 1024});
+        let state = self.durable.as_ref().map(|d| d.condition());
+        json["state"] = json!({"kept": state.is_some(), "incarnation": state.and_then(|s| s.incarnation),
+            "failed": state.map(|s| s.failed)});
         json["peers"] = json!({"sent": sent, "received": received});
         json["log"] = json!({"unwritten": unwritten, "over": over});
         json.to_string()
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -154,13 +154,7 @@
     /// Leaves what was learned to the next process. Without it that one starts from nothing.
     pub fn leave(&self, memory: &Memory, names: &Names) {
         let Some(dir) = &self.dir else { return };
-        let backends: Vec<Value> =
-            (memory.backends.iter()).map(|k| json!([k.backend.0, k.limit, k.cut_at, k.prat])).collect();
-        let classes: BTreeMap<&str, [f64; 4]> = (memory.classes.iter().enumerate())
-            .filter_map(|(n, times)| Some((names.class_name(n)?, *times)))
-            .collect();
-        let text = json!({"warm_rate": memory.warm_rate, "backends": backends, "classes": classes});
-        if let Err(e) = write_whole(dir, MEMORY, text.to_string().as_bytes()) {
+        if let Err(e) = write_whole(dir, MEMORY, memory_text(memory, names).as_bytes()) {
             say!(WARN, "state", reason = e.to_string().as_str(), "state.failed");
         }
     }
@@ -171,7 +165,7 @@
         let short = fs::metadata(&path).is_ok_and(|m| m.is_file() && m.len() <= LONGEST_MEMORY);
         let text = short.then(|| fs::read_to_string(&path).ok()).flatten();
         let _ = fs::remove_file(&path);
-        read_memory(&serde_json::from_str(&text?).ok()?, names)
+        memory_from(&text?, names)
     }
 
     /// The backends that are out, by the files.
@@ -206,6 +200,21 @@
     }
 }
 
+/// What was learned, as text.
+pub fn memory_text(memory: &Memory, names: &Names) -> String {
+    let backends: Vec<Value> =
+        (memory.backends.iter()).map(|k| json!([k.backend.0, k.limit, k.cut_at, k.prat])).collect();
+    let classes: BTreeMap<&str, [f64; 4]> = (memory.classes.iter().enumerate())
+        .filter_map(|(n, times)| Some((names.class_name(n)?, *times)))
+        .collect();
+    json!({"warm_rate": memory.warm_rate, "backends": backends, "classes": classes}).to_string()
+}
+
+/// Reads that; none where it is torn or strange.
+pub fn memory_from(text: &str, names: &Names) -> Option<Memory> {
+    read_memory(&serde_json::from_str(text).ok()?, names)
+}
+
 fn read_memory(json: &Value, names: &Names) -> Option<Memory> {
     let figure = |v: &Value| v.as_f64().filter(|f| *f >= 0.0);
     let mut backends = Vec::new();
--- a/src/options.rs
+++ b/src/options.rs
@@ -33,6 +33,16 @@
     pub log: Log,
     /// The figures of the call `stats`.
     pub stats: Stats,
+    /// What survives the machine.
+    pub state: State,
+}
+
+/// `[state]`.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct State {
+    /// A directory that survives the machine, for this node alone; without it nothing does.
+    pub dir: String,
 }
 
 /// `[log]`.
@@ -156,7 +166,7 @@
 }
 
 /// Every key that the file may hold.
-pub const KEYS: [Key; 6] = [
+pub const KEYS: [Key; 7] = [
     Key { key: "log.format", unit: "text | json", about: "how a line of the log is written" },
     Key {
         key: "log.level",
@@ -183,6 +193,11 @@
         unit: "seconds, 1 to 3600",
         about: "times that stats shows are of the last one or two such windows",
     },
+    Key {
+        key: "state.dir",
+        unit: "directory; taken at a start only",
+        about: "keeps operators' words, the list and what was learned over crash and power loss",
+    },
 ];
 
 #[cfg(test)]
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -458,6 +458,11 @@
         self.child.wait().unwrap();
     }
 
+    /// The same of a node that may not be there yet.
+    pub fn call_if_there(&self, call: &str) -> Option<String> {
+        try_operator(self.operator, format!("{call}\n").as_bytes())
+    }
+
     /// What an operator is answered.
     pub fn call(&self, call: &str) -> String {
         operator(self.operator, format!("{call}\n").as_bytes())
--- /dev/null
+++ b/tests/node_state.rs
@@ -0,0 +1,150 @@
+//! What survives the machine: operators' words and what was learned, over SIGKILL, damage and a later format.
+mod node;
+
+use node::*;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+
+/// The product's file that names a state directory of this test's own.
+fn place(name: &str) -> (PathBuf, PathBuf) {
+    let dir = scratch(name);
+    let (file, state) = (dir.join("daleturn.toml"), dir.join("state"));
+    std::fs::write(&file, format!("[state]\ndir = {:?}\n", state.to_str().unwrap())).unwrap();
+    (file, state)
+}
+
+fn start(file: &Path, discovery: &Discovery) -> Node {
+    let (node, _) = Node::launch_with(discovery.address, file, true);
+    wait_for("it serves", || node.call_if_there("health").is_some_and(|a| a.starts_with("OK")));
+    node
+}
+
+fn stats(node: &Node) -> Value {
+    serde_json::from_str(node.call("stats").strip_prefix("OK ").unwrap()).unwrap()
+}
+
+fn states(node: &Node) -> Vec<String> {
+    let backends = stats(node)["backends"].clone();
+    backends.as_array().unwrap().iter().map(|b| b["state"].as_str().unwrap().to_owned()).collect()
+}
+
+fn fleet() -> (Record, Discovery) {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| ok(b"x"));
+    (record, Discovery::start(all_up(&addresses)))
+}
+
+#[test]
+fn an_operators_word_survives_the_nodes_death_until_it_is_taken_back() {
+    let (_record, discovery) = fleet();
+    let (file, _) = place("words");
+    let mut first = start(&file, &discovery);
+    assert_eq!(first.call("cordon s-1"), "OK s-1 is out\n");
+    assert!(first.call("quiesce").starts_with("OK"));
+    assert!(first.call("cordon s-9").starts_with("ERR"), "nobody knows it");
+    first.kill();
+    let mut second = start(&file, &discovery);
+    assert_eq!(states(&second), ["up", "cordoned"]);
+    assert!(second.call("health").contains("quiesced"));
+    assert_eq!(second.up(), 503);
+    assert!(second.call("resume").starts_with("OK"));
+    assert!(second.call("uncordon s-1").starts_with("OK"));
+    second.kill();
+    let third = start(&file, &discovery);
+    assert_eq!(states(&third), ["up", "up"]);
+    assert_eq!(third.up(), 200);
+    assert_eq!(stats(&third)["state"]["incarnation"], 3);
+}
+
+#[test]
+fn the_list_and_what_was_learned_are_there_when_discovery_is_not() {
+    let (_record, discovery) = fleet();
+    let (file, _) = place("learned");
+    let mut first = start(&file, &discovery);
+    for _ in 0..30 {
+        assert_eq!(ask(first.address, &request("page", 3000)).status(), 200);
+    }
+    // The first look is at once, the next ones some seconds apart.
+    std::thread::sleep(std::time::Duration::from_millis(6500));
+    first.kill();
+    let nobody = free_address();
+    let (second, _) = Node::launch_with(nobody, &file, true);
+    wait_for("it knows backends", || second.call_if_there("health").is_some_and(|a| a.starts_with("OK")));
+    assert_eq!(ask(second.address, &request("page", 3000)).status(), 200);
+    assert!(second.logged("state.remembers") == 1);
+}
+
+#[test]
+fn damage_is_moved_aside_and_told_and_never_keeps_a_node_from_serving() {
+    let (_record, discovery) = fleet();
+    let (file, dir) = place("damage");
+    let mut first = start(&file, &discovery);
+    assert!(first.call("cordon s-1").starts_with("OK"));
+    first.kill();
+    let snapshot = |dir: &Path| -> PathBuf {
+        let entries = std::fs::read_dir(dir).unwrap().flatten().map(|e| e.path());
+        let whole = |p: &PathBuf| {
+            p.extension().is_some_and(|e| e == "snap") && !p.to_string_lossy().contains("damaged")
+        };
+        entries.filter(whole).max().unwrap()
+    };
+    let path = snapshot(&dir);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 0x10;
+    std::fs::write(&path, &bytes).unwrap();
+    let mut second = start(&file, &discovery);
+    assert_eq!(ask(second.address, &request("page", 3000)).status(), 200);
+    wait_for("the damage is told", || second.logged("state.damaged") == 1);
+    let name = path.file_name().unwrap().to_str().unwrap();
+    assert_eq!(std::fs::read(dir.join(format!("damaged-{name}"))).unwrap(), bytes);
+    second.kill();
+    // A later build's file: this one serves, and leaves all as it is.
+    let path = snapshot(&dir);
+    let mut header = std::fs::read(&path).unwrap()[..16].to_vec();
+    header[4] = 99;
+    header.extend(crc(&header).to_le_bytes());
+    std::fs::write(&path, &header).unwrap();
+    let third = start(&file, &discovery);
+    assert_eq!(ask(third.address, &request("page", 3000)).status(), 200);
+    wait_for("it is told", || third.logged("format 99") == 1);
+    assert!(third.call("cordon s-1").starts_with("ERR nothing changed"));
+    assert_eq!(std::fs::read(&path).unwrap(), header);
+}
+
+/// The checksum of the files, written here again so that the store is not its own judge.
+fn crc(bytes: &[u8]) -> u32 {
+    !bytes.iter().fold(!0_u32, |crc, b| {
+        (0..8).fold(crc ^ u32::from(*b), |c, _| if c & 1 == 1 { (c >> 1) ^ 0xedb8_8320 } else { c >> 1 })
+    })
+}
+
+#[test]
+fn a_node_that_starts_again_and_again_keeps_the_words_and_forgets_what_it_learned() {
+    let (_record, discovery) = fleet();
+    let (file, _) = place("loop");
+    for n in 0..4 {
+        let mut node = start(&file, &discovery);
+        if n == 0 {
+            assert!(node.call("cordon s-1").starts_with("OK"));
+            wait_for("something was learned", || stats(&node)["uptime_s"].as_u64() >= Some(2));
+        }
+        assert_eq!(states(&node), ["up", "cordoned"], "start {n}");
+        assert_eq!(node.logged("looping=true"), usize::from(n == 3), "start {n}");
+        if n == 3 {
+            assert_eq!(node.logged("state.remembers"), 0);
+        }
+        node.kill();
+    }
+}
+
+#[test]
+fn a_place_that_cannot_be_written_keeps_no_node_from_serving() {
+    let (_record, discovery) = fleet();
+    let file = scratch("nowhere").join("daleturn.toml");
+    std::fs::write(&file, "[state]\ndir = \"/proc/nowhere\"\n").unwrap();
+    let node = start(&file, &discovery);
+    assert_eq!(ask(node.address, &request("page", 3000)).status(), 200);
+    assert!(node.call("cordon s-1").starts_with("ERR nothing changed, it cannot be stored"));
+    assert_eq!(states(&node), ["up", "up"]);
+}
