--- a/crates/lab/src/real/nodes.rs
+++ b/crates/lab/src/real/nodes.rs
@@ -127,6 +127,11 @@
     /// # Errors
     /// It cannot be started.
     pub fn start(&self, world: &World) -> io::Result<SocketAddr> {
+        if lock(&self.processes).is_empty() {
+            // The platform's temporary place is empty at each start, but for one beside a living process.
+            let tmp = self.dir.join("tmp");
+            std::fs::remove_dir_all(&tmp).and_then(|()| std::fs::create_dir_all(&tmp))?;
+        }
         self.write(world)?;
         let operator = free(own_ip(ADDRESS + self.number as u32 % 30))?;
         let limit = format!("ulimit -n {}; exec \"$0\" \"$@\"", world.plan.scenario.fleet.sockets);
--- a/src/policy/near.rs
+++ b/src/policy/near.rs
@@ -1,5 +1,6 @@
-//! Nearness: how much a candidate beyond this node's zone weighs. It is little while the zone's own backends carry
-//! what is asked there, and grows by the strain that they show beyond the others', until both are strained alike.
+//! Nearness: how much a candidate beyond this node's zone weighs. It is little while the zone's own backends
+//! carry what is asked there, and grows by the strain that they show beyond the others', until both are
+//! strained alike.
 
 use super::Balancer;
 use super::admission::TARGET_STRAIN;
@@ -7,11 +8,11 @@
 
 /// The least weight: enough to see now and then how the others fare.
 const LEAST: f64 = 0.01;
-/// By how much a request more strains a zone beyond what it bears itself, near what it can carry: strain grows
-/// about with the cube of the load there.
+/// By how much a request more strains a zone beyond what it bears itself, near what it can carry: strain
+/// grows about with the cube of the load there.
 const MARGINAL: f64 = 3.0;
-/// How fast the weight grows and falls at most, in powers of e a second: traffic moves within the time in which
-/// strain shows, and returns more slowly than it left.
+/// How fast the weight grows and falls at most, in powers of e a second: traffic moves within the time in
+/// which strain shows, and returns more slowly than it left.
 const GROWTH: f64 = 2.0;
 const FALL: f64 = 0.5;
 
