--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -69,8 +69,7 @@
             return keyed;
         }
         // A spilled key is work anew at a backend that has not met it: spills keep to a budget.
-        // It is strain on its zone, too, though no outcome shows it: a zone whose servers are cold or at their
-        // caps refuses before it is late.
+        // It is strain on its zone, too, though no outcome shows it.
         let far = self.backends.get(first).is_none_or(|b| self.far(b.zone));
         if self.s.warm_keys && self.admission.spill < 1.0 {
             self.near.note(far, 1.0);
