Put back what was there when an operator's word is answered ERR

Cause, found on reading the change again: a word that came too late was undone by its opposite, so a cordon said twice lost the first one too; one whose sync failed stayed in the store's memory and was written with the next generation. Change: the thread puts back what was there before, and skips a word that nobody waits for; a request's class is looked up without an allocation. Result: the new test fails without the change.

--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -2,7 +2,7 @@
 //! directory that `[state] dir` names. A thread of its own has the disk; nobody who is served waits for it.
 
 use crate::log::say;
-use daleturn_store::{Entry, Limits, RealDisk, Store, StoreError};
+use daleturn_store::{Disk, Entry, Limits, RealDisk, Store, StoreError};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -99,13 +99,13 @@
     pub failed: u64,
 }
 
-struct Thread {
-    store: Store<RealDisk>,
+struct Thread<D> {
+    store: Store<D>,
 }
 
-impl Thread {
+impl Thread<RealDisk> {
     /// Opens the directory as its one writer; a new incarnation is on disk before anybody hears of it.
-    fn open(dir: &Path, limits: Limits) -> Result<(Thread, Kept, u64), StoreError> {
+    fn open(dir: &Path, limits: Limits) -> Result<(Thread<RealDisk>, Kept, u64), StoreError> {
         let (mut store, report) = Store::open(RealDisk::open(dir)?, limits)?;
         for (file, aside) in &report.aside {
             say!(ERROR, "state", file = file.as_str(), aside = aside.as_str(), "state.damaged");
@@ -138,7 +138,9 @@
         say!(INFO, "state", incarnation, generation, records, cut, words, looping, "state.opened");
         Ok((Thread { store }, kept, incarnation))
     }
+}
 
+impl<D: Disk> Thread<D> {
     fn change(&mut self, kind: &str, key: &str, value: Option<Vec<u8>>) -> Result<(), StoreError> {
         match value {
             Some(value) => self.store.put(kind, key, Entry { written_ms: wall_ms(), value }),
@@ -149,12 +151,21 @@
     fn work(&mut self, job: Job) -> Result<(), StoreError> {
         match job {
             Job::Word { kind, key, value, done } => {
+                if done.is_closed() {
+                    return Ok(());
+                }
+                let before = self.store.get(kind, &key).map(|e| e.value.clone());
                 let written = self.change(kind, &key, value).and_then(|()| self.store.sync());
                 let said = written.as_ref().copied().map_err(ToString::to_string);
-                if done.send(said).is_err() {
-                    // Whoever asked was told that it is not stored: the word is taken back.
+                let late = done.send(said).is_err();
+                if late {
                     say!(WARN, "state", kind, key = key.as_str(), "state.too_late");
                 }
+                if late || written.is_err() {
+                    // Whoever asked was told that nothing changed: what was there before holds.
+                    self.change(kind, &key, before)?;
+                    self.store.sync()?;
+                }
                 written
             }
             Job::Learned(entries) => {
@@ -286,17 +297,12 @@
 
     async fn word(&self, kind: &'static str, key: &str, value: Option<Vec<u8>>) -> Result<(), String> {
         let (done, stored) = oneshot::channel();
-        let undo = if value.is_some() { None } else { Some(Vec::new()) };
         self.give(Job::Word { kind, key: key.to_owned(), value, done })?;
         match tokio::time::timeout(WORD_TIME, stored).await {
             Ok(Ok(stored)) => stored,
             Ok(Err(_)) => Err("the state cannot be used, as the log says".to_owned()),
-            Err(_) => {
-                // It may yet be written, and must not hold then.
-                let (done, _) = oneshot::channel();
-                let _ = self.give(Job::Word { kind, key: key.to_owned(), value: undo, done });
-                Err("the disk did not answer in time".to_owned())
-            }
+            // The thread finds that nobody waits any more, and puts back what was there.
+            Err(_) => Err("the disk did not answer in time".to_owned()),
         }
     }
 
@@ -358,6 +364,30 @@
         ])
     }
 
+    #[test]
+    fn a_word_that_was_answered_err_changes_nothing() {
+        use daleturn_store::faults::{FaultDisk, Faults};
+        let (store, _) = Store::open(FaultDisk::default(), Limits::default()).unwrap();
+        let mut thread = Thread { store };
+        let mut say = |uid: &str, out: bool, faults: Faults, waits: bool| {
+            let (done, mut answer) = oneshot::channel();
+            if !waits {
+                answer.close();
+            }
+            thread.store.disk().faults = faults;
+            let value = out.then(Vec::new);
+            let _ = thread.work(Job::Word { kind: CORDON, key: uid.to_owned(), value, done });
+            thread.store.of_kind(CORDON).map(|(uid, _)| uid.to_owned()).collect::<Vec<_>>()
+        };
+        let fine = Faults::default();
+        assert_eq!(say("s-1", true, fine, true), ["s-1"]);
+        // Said again by somebody who gave up: the first word stays.
+        assert_eq!(say("s-1", true, fine, false), ["s-1"]);
+        assert_eq!(say("s-1", false, fine, false), ["s-1"]);
+        // Written, but not durable: told so, and not there with the next write either.
+        assert_eq!(say("s-2", true, Faults { syncs: 1, ..fine }, true), ["s-1"]);
+    }
+
     #[test]
     fn a_word_holds_however_old_and_what_was_learned_only_while_it_is_fresh() {
         let now = 1_000_000_000_000_u64;
--- a/src/node/stats.rs
+++ b/src/node/stats.rs
@@ -162,7 +162,7 @@
         }
     }
 
-    fn class(&mut self, name: Option<&str>) -> &mut Class {
+    fn class(&mut self, name: Option<&str>) -> Option<&mut Class> {
         let name = name.unwrap_or(UNKNOWN);
         if !self.classes.contains_key(name) {
             if self.classes.len() >= CLASSES {
@@ -171,15 +171,16 @@
             }
             self.classes.insert(name.to_owned(), Class::default());
         }
-        self.classes.entry(name.to_owned()).or_default()
+        self.classes.get_mut(name)
     }
 
     /// A request of a class came.
     pub fn asked(&mut self, class: Option<&str>) {
         self.turn();
-        let class = self.class(class);
-        class.asked += 1;
-        class.last = Some(Instant::now());
+        if let Some(class) = self.class(class) {
+            class.asked += 1;
+            class.last = Some(Instant::now());
+        }
     }
 
     /// One was refused before the decisions heard of it.
@@ -191,7 +192,7 @@
 
     /// A request is over.
     pub fn ended(&mut self, class: Option<&str>, end: End) {
-        let own = self.class(class);
+        let Some(own) = self.class(class) else { return };
         match end {
             End::Served { late, times } => {
                 own.served += 1;
