Share state between nodes: membership, totals, verdicts, places and words as machines

Need: each node decides alone. Ten nodes that each allow a tenant its share allow it ten times, and a server that one has found dead is found dead by each.

Design: src/control, without I/O or clock. Members after SWIM and Lifeguard (incarnations, suspicions that can be refuted, indirect questions, patience with one's own lateness), but a node watches its neighbours in a tree over the members' numbers instead of one drawn by lot: they speak anyway, and two datagrams a second for pings alone would be the whole budget. A wave a period goes up and down that tree: each node learns the fleet's totals for one datagram up and one down. News (verdicts, statuses, words) is pressed along its edges and acknowledged; digests in each wave and comparisons of two bits a member repair the rest. All values join by the greater of two, so order, doubling and loss do not matter; ages are sums of times that each holder measured itself.

Rejected: epidemic push by lot (at two datagrams a second 300 nodes need 5 s and more), a node's counts told to all (300 entries for each tenant do not fit 512 bytes a second), push-sum averages (lost datagrams lose mass), the crates foca and memberlist (random probes and unbounded broadcast queues against 256 bytes and a price for each datagram).

--- /dev/null
+++ b/src/control/packet.rs
@@ -0,0 +1,477 @@
+//! Datagrams between nodes: at most 256 bytes, checksummed, each with its sender's life and a running number. What
+//! is cut, of another version, spoilt or absurd is refused whole.
+
+use super::members::{Life, Message, Ms, Node, Status};
+use super::share::{Finding, Place, TENANTS, Totals, Word};
+use bytes::{Buf, BufMut};
+use thiserror::Error;
+
+/// A longer datagram breaks the deployment's rules.
+pub const LONGEST: usize = 256;
+/// First byte; what nodes tell each other of backends (`src/news.rs`) begins with a small number.
+const MAGIC: u8 = 0xd1;
+/// Of the form that is told here.
+const VERSION: u8 = 1;
+/// Bytes before the body: magic, version, kind, status, sender, incarnation, beat, number, checksum.
+const HEAD: usize = 4 + 2 + 4 + 4 + 4 + 4;
+/// A server's name in an operator's word is no longer.
+pub const LONGEST_NAME: usize = 64;
+/// An age beyond this is told as this.
+const OLDEST: Ms = 65_535;
+
+/// Why a datagram is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PacketError {
+    /// It is none of these.
+    #[error("not a datagram of the fleet's")]
+    Strange,
+    /// Of a version that this build does not speak.
+    #[error("of version {0}")]
+    Version(u8),
+    /// Cut, or spoilt.
+    #[error("cut or spoilt")]
+    Spoilt,
+}
+
+/// Who sends, how it lives, and which of its datagrams this is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// Its number.
+    pub from: Node,
+    /// What it says of itself.
+    pub life: Life,
+    /// Counts its datagrams since its start.
+    pub number: u32,
+}
+
+/// A piece of news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Item {
+    /// How a member fares.
+    Member(Node, Life),
+    /// What a node found of a server, and how old that is.
+    Finding(u32, Node, Finding, Ms),
+    /// Where a key has gone, and how old that is.
+    Place(u32, Place, Ms),
+    /// An operator's word, and how old it is.
+    Word(String, Word, Ms),
+}
+
+/// What a datagram is about.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Body {
+    /// What was counted below the sender, for its parent.
+    Up {
+        /// Which wave it is for.
+        wave: u32,
+        /// The counts.
+        totals: Totals,
+        /// Digests of members and words.
+        digests: [u32; 2],
+    },
+    /// What all of them counted, from the root.
+    Down {
+        /// The root, and which of its starts.
+        root: (Node, u32),
+        /// Counts up there.
+        wave: u32,
+        /// How far from the root the sender is.
+        depth: u8,
+        /// The counts.
+        totals: Totals,
+        /// Digests of members and words.
+        digests: [u32; 2],
+    },
+    /// News that is to be acknowledged.
+    News(u16),
+    /// It was.
+    Got(u16),
+    /// Say again, please: `up`, what you counted; else a wave after that one.
+    Again {
+        /// Which of them.
+        up: bool,
+        /// The wave that is known.
+        wave: u32,
+    },
+    /// A question of membership, or its answer.
+    Check(Message),
+    /// Statuses of members from `first` on, two bits each.
+    Compare {
+        /// The first one.
+        first: Node,
+        /// 0 there, 1 gone, 2 left.
+        classes: Vec<u8>,
+        /// Digest of the words.
+        words: u32,
+    },
+}
+
+impl Body {
+    fn kind(&self) -> u8 {
+        match self {
+            Body::Up { .. } => 1,
+            Body::Down { .. } => 2,
+            Body::News(_) => 3,
+            Body::Got(_) => 4,
+            Body::Again { .. } => 5,
+            Body::Check(_) => 6,
+            Body::Compare { .. } => 7,
+        }
+    }
+}
+
+/// Members that one comparison tells of.
+pub const COMPARED: usize = 800;
+
+fn put_life(out: &mut Vec<u8>, life: &Life) {
+    out.put_u32(life.incarnation);
+    out.put_u32(life.beat);
+    out.put_u8(life.status as u8);
+}
+
+fn put_totals(out: &mut Vec<u8>, totals: &Totals, digests: [u32; 2]) {
+    out.put_u16(totals.counted);
+    out.put_u16(totals.age.min(OLDEST) as u16);
+    digests.iter().for_each(|d| out.put_u32(*d));
+    out.put_u8(totals.tenants.len().min(TENANTS) as u8);
+    for (tenant, rate) in totals.tenants.iter().take(TENANTS) {
+        out.put_u32(*tenant);
+        out.put_f32(*rate);
+    }
+}
+
+impl Item {
+    fn put(&self, out: &mut Vec<u8>) {
+        match self {
+            Item::Member(who, life) => {
+                out.put_u8(1);
+                out.put_u16(*who);
+                put_life(out, life);
+            }
+            Item::Finding(server, who, f, age) => {
+                out.put_u8(if f.bad { 2 } else { 3 });
+                out.put_u32(*server);
+                out.put_u16(*who);
+                out.put_u32(f.incarnation);
+                out.put_u16(f.number);
+                out.put_u32(f.start);
+                out.put_u16((*age).min(OLDEST) as u16);
+            }
+            Item::Place(key, place, age) => {
+                out.put_u8(4);
+                out.put_u32(*key);
+                out.put_u32(place.number);
+                out.put_u16(place.who);
+                out.put_u32(place.server);
+                out.put_u16((*age).min(OLDEST) as u16);
+            }
+            Item::Word(server, word, age) => {
+                out.put_u8(if word.out { 5 } else { 6 });
+                out.put_u32(word.number);
+                out.put_u16(word.who);
+                out.put_u32(u32::try_from(*age / 1000).unwrap_or(u32::MAX));
+                out.put_u8(server.len() as u8);
+                out.put_slice(server.as_bytes());
+            }
+        }
+    }
+}
+
+/// Writes a datagram with as many of the items, in their order, as there is room for; and says how many that were.
+pub fn write(head: &Head, body: &Body, items: &[Item]) -> (Vec<u8>, usize) {
+    let mut out = Vec::with_capacity(LONGEST);
+    out.put_slice(&[MAGIC, VERSION, body.kind(), head.life.status as u8]);
+    out.put_u16(head.from);
+    out.put_u32(head.life.incarnation);
+    out.put_u32(head.life.beat);
+    out.put_u32(head.number);
+    out.put_u32(0);
+    match body {
+        Body::Up { wave, totals, digests } => {
+            out.put_u32(*wave);
+            put_totals(&mut out, totals, *digests);
+        }
+        Body::Down { root, wave, depth, totals, digests } => {
+            out.put_u16(root.0);
+            out.put_u32(root.1);
+            out.put_u32(*wave);
+            out.put_u8(*depth);
+            put_totals(&mut out, totals, *digests);
+        }
+        Body::News(id) | Body::Got(id) => out.put_u16(*id),
+        Body::Again { up, wave } => {
+            out.put_u8(u8::from(*up));
+            out.put_u32(*wave);
+        }
+        Body::Check(Message::Ping(wanted_by)) => {
+            out.put_u8(1);
+            out.put_u16(*wanted_by);
+        }
+        Body::Check(Message::PingFor(target)) => {
+            out.put_u8(2);
+            out.put_u16(*target);
+        }
+        Body::Check(Message::Ack { about, life, wanted_by }) => {
+            out.put_u8(3);
+            out.put_u16(*about);
+            out.put_u16(*wanted_by);
+            put_life(&mut out, life);
+        }
+        Body::Compare { first, classes, words } => {
+            let classes = classes.get(..classes.len().min(COMPARED)).unwrap_or_default();
+            out.put_u16(*first);
+            out.put_u16(classes.len() as u16);
+            out.put_u32(*words);
+            for four in classes.chunks(4) {
+                out.put_u8(four.iter().rev().fold(0, |byte, class| byte << 2 | (class & 3)));
+            }
+        }
+    }
+    let mut written = 0;
+    for item in items {
+        let before = out.len();
+        item.put(&mut out);
+        if out.len() > LONGEST {
+            out.truncate(before);
+            break;
+        }
+        written += 1;
+    }
+    let sum = checksum(&out);
+    if let Some(place) = out.get_mut(HEAD - 4..HEAD) {
+        place.copy_from_slice(&sum.to_be_bytes());
+    }
+    (out, written)
+}
+
+/// Of all but its own four bytes.
+fn checksum(bytes: &[u8]) -> u32 {
+    let mut hash = crc32fast::Hasher::new();
+    hash.update(bytes.get(..HEAD - 4).unwrap_or_default());
+    hash.update(bytes.get(HEAD..).unwrap_or_default());
+    hash.finalize()
+}
+
+/// Reads what a writer put; every step says none where there is nothing left.
+struct Reader<'a>(&'a [u8]);
+
+impl Reader<'_> {
+    fn u8(&mut self) -> Option<u8> {
+        self.0.try_get_u8().ok()
+    }
+
+    fn u16(&mut self) -> Option<u16> {
+        self.0.try_get_u16().ok()
+    }
+
+    fn u32(&mut self) -> Option<u32> {
+        self.0.try_get_u32().ok()
+    }
+
+    fn status(&mut self) -> Option<Status> {
+        Status::ALL.get(usize::from(self.u8()?)).copied()
+    }
+
+    fn life(&mut self) -> Option<Life> {
+        Some(Life { incarnation: self.u32()?, beat: self.u32()?, status: self.status()? })
+    }
+
+    fn totals(&mut self) -> Option<(Totals, [u32; 2])> {
+        let (counted, age) = (self.u16()?, Ms::from(self.u16()?));
+        let digests = [self.u32()?, self.u32()?];
+        let mut tenants = Vec::new();
+        for _ in 0..self.u8()? {
+            let (tenant, rate) = (self.u32()?, self.0.try_get_f32().ok()?);
+            let rises = tenants.last().is_none_or(|(last, _)| *last < tenant);
+            if !rate.is_finite() || rate < 0.0 || !rises || tenants.len() >= TENANTS {
+                return None;
+            }
+            tenants.push((tenant, rate));
+        }
+        Some((Totals { tenants, counted, age }, digests))
+    }
+
+    fn item(&mut self) -> Option<Item> {
+        Some(match self.u8()? {
+            1 => Item::Member(self.u16()?, self.life()?),
+            kind @ (2 | 3) => {
+                let (server, who) = (self.u32()?, self.u16()?);
+                let finding = Finding {
+                    incarnation: self.u32()?,
+                    number: self.u16()?,
+                    start: self.u32()?,
+                    bad: kind == 2,
+                };
+                Item::Finding(server, who, finding, Ms::from(self.u16()?))
+            }
+            4 => {
+                let key = self.u32()?;
+                let place = Place { number: self.u32()?, who: self.u16()?, server: self.u32()? };
+                Item::Place(key, place, Ms::from(self.u16()?))
+            }
+            kind @ (5 | 6) => {
+                let word = Word { number: self.u32()?, who: self.u16()?, out: kind == 5 };
+                let (age, length) = (Ms::from(self.u32()?) * 1000, usize::from(self.u8()?));
+                let name = self.0.get(..length).filter(|_| (1..=LONGEST_NAME).contains(&length))?;
+                let name = std::str::from_utf8(name).ok()?.to_owned();
+                self.0.advance(length);
+                Item::Word(name, word, age)
+            }
+            _ => return None,
+        })
+    }
+
+    fn body(&mut self, kind: u8) -> Option<Body> {
+        Some(match kind {
+            1 => {
+                let wave = self.u32()?;
+                let (totals, digests) = self.totals()?;
+                Body::Up { wave, totals, digests }
+            }
+            2 => {
+                let (root, wave, depth) = ((self.u16()?, self.u32()?), self.u32()?, self.u8()?);
+                let (totals, digests) = self.totals()?;
+                Body::Down { root, wave, depth, totals, digests }
+            }
+            3 => Body::News(self.u16()?),
+            4 => Body::Got(self.u16()?),
+            5 => Body::Again { up: self.u8()? == 1, wave: self.u32()? },
+            6 => Body::Check(match self.u8()? {
+                1 => Message::Ping(self.u16()?),
+                2 => Message::PingFor(self.u16()?),
+                3 => {
+                    let (about, wanted_by) = (self.u16()?, self.u16()?);
+                    Message::Ack { about, life: self.life()?, wanted_by }
+                }
+                _ => return None,
+            }),
+            7 => {
+                let (first, count, words) = (self.u16()?, usize::from(self.u16()?), self.u32()?);
+                let mut classes = Vec::new();
+                while classes.len() < count.min(COMPARED) {
+                    let byte = self.u8()?;
+                    classes.extend([0, 2, 4, 6].map(|shift| byte >> shift & 3));
+                }
+                classes.truncate(count);
+                Body::Compare { first, classes, words }
+            }
+            _ => return None,
+        })
+    }
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+/// It is none, or not whole.
+pub fn read(bytes: &[u8]) -> Result<(Head, Body, Vec<Item>), PacketError> {
+    let &[MAGIC, version, kind, ..] = bytes else { return Err(PacketError::Strange) };
+    if version != VERSION {
+        return Err(PacketError::Version(version));
+    }
+    let sum = bytes.get(HEAD - 4..HEAD).and_then(|b| b.try_into().ok()).map(u32::from_be_bytes);
+    if bytes.len() > LONGEST || sum != Some(checksum(bytes)) {
+        return Err(PacketError::Spoilt);
+    }
+    let mut reader = Reader(bytes.get(3..).unwrap_or_default());
+    let whole = |reader: &mut Reader| {
+        let status = reader.status()?;
+        let from = reader.u16()?;
+        let life = Life { incarnation: reader.u32()?, beat: reader.u32()?, status };
+        let head = Head { from, life, number: reader.u32()? };
+        reader.u32()?;
+        let body = reader.body(kind)?;
+        let mut items = Vec::new();
+        while !reader.0.is_empty() {
+            items.push(reader.item()?);
+        }
+        Some((head, body, items))
+    };
+    whole(&mut reader).ok_or(PacketError::Spoilt)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn head() -> Head {
+        Head { from: 7, life: Life { incarnation: 3, beat: 900, status: Status::Alive }, number: 12 }
+    }
+
+    fn totals() -> Totals {
+        Totals { tenants: (0..12).map(|n| (n * 5, n as f32 * 1.5)).collect(), counted: 300, age: 777 }
+    }
+
+    fn bodies() -> Vec<Body> {
+        let life = head().life;
+        let mut all = vec![
+            Body::Up { wave: 9, totals: totals(), digests: [1, 2] },
+            Body::Down { root: (0, 5), wave: 9, depth: 2, totals: totals(), digests: [1, 2] },
+            Body::News(5),
+            Body::Got(6),
+            Body::Again { up: true, wave: 8 },
+            Body::Check(Message::Ping(3)),
+            Body::Check(Message::PingFor(4)),
+            Body::Check(Message::Ack { about: 3, life, wanted_by: 9 }),
+        ];
+        all.extend([0, 1, 3, 4, 5, 800].map(|n| {
+            let classes = (0..n).map(|i| (i % 3) as u8).collect();
+            Body::Compare { first: 40, classes, words: 99 }
+        }));
+        all
+    }
+
+    fn items() -> Vec<Item> {
+        let finding = Finding { incarnation: 4, number: 65_535, start: 9, bad: true };
+        vec![
+            Item::Member(8, Life { incarnation: 1, beat: 2, status: Status::Gone }),
+            Item::Finding(77, 8, finding, 1234),
+            Item::Place(5, Place { number: 1, who: 2, server: 3 }, 40),
+            Item::Word("s-1".to_owned(), Word { number: 1, who: 2, out: false }, 60_000),
+        ]
+    }
+
+    #[test]
+    fn a_datagram_is_read_as_it_was_written_and_holds_what_fits() {
+        for body in bodies() {
+            let many: Vec<Item> = items().into_iter().cycle().take(40).collect();
+            let (bytes, written) = write(&head(), &body, &many);
+            assert!(bytes.len() <= LONGEST, "{body:?}");
+            let full = matches!(body, Body::Compare { ref classes, .. } if classes.len() == 800);
+            assert!(full || written >= 4, "{body:?} left room for {written}");
+            assert_eq!(read(&bytes), Ok((head(), body, many[..written].to_vec())));
+        }
+    }
+
+    #[test]
+    fn what_is_cut_spoilt_or_of_another_version_is_refused() {
+        for body in bodies() {
+            let (bytes, _) = write(&head(), &body, &items());
+            for n in 0..bytes.len() {
+                assert!(read(&bytes[..n]).is_err());
+                let mut spoilt = bytes.clone();
+                spoilt[n] ^= 0x10;
+                assert!(read(&spoilt).is_err(), "byte {n} of {body:?}");
+            }
+            let longer = [&bytes[..], &[0]].concat();
+            assert!(read(&longer).is_err());
+        }
+        assert_eq!(read(&[MAGIC, 9, 1, 0]), Err(PacketError::Version(9)));
+        assert_eq!(read(&[1, 2, 3, 4, 5]), Err(PacketError::Strange));
+    }
+
+    proptest! {
+        /// With a right checksum, too, nothing that is read can stop the reader.
+        #[test]
+        fn no_bytes_stop_the_reader(mut bytes in prop::collection::vec(any::<u8>(), HEAD..LONGEST + 10), kind in 0_u8..9) {
+            (bytes[0], bytes[1], bytes[2]) = (MAGIC, VERSION, kind);
+            let sum = checksum(&bytes);
+            bytes[HEAD - 4..HEAD].copy_from_slice(&sum.to_be_bytes());
+            if let Ok((head, body, items)) = read(&bytes) {
+                let (again, written) = write(&head, &body, &items);
+                prop_assert!(written <= items.len() && again.len() <= LONGEST);
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 //! ```
 
 pub mod calls;
+pub mod control;
 pub mod files;
 pub mod interface;
 mod ledger;
