Let nodes use what the fleet shares, off unless [share] says so

Need: the machines of src/control have to reach the decisions, operators and figures.

Of two processes of a node the one that serves speaks. stats shows members, ages at use and how often limits were decided alone.

--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -40,11 +40,17 @@
     Cordon {
         /// The backend's uid in discovery's list
         id: String,
+        /// At every node that shares state with this one
+        #[arg(long)]
+        fleet: bool,
     },
     /// Put a backend back
     Uncordon {
         /// The backend's uid in discovery's list
         id: String,
+        /// At every node that shares state with this one
+        #[arg(long)]
+        fleet: bool,
     },
     /// Send clients away: /up says no, answers close their connections
     Quiesce,
@@ -62,8 +68,10 @@
 pub fn run(args: &Args) -> Result<(), Failure> {
     let call = match &args.what {
         What::Health => Call::Health,
-        What::Cordon { id } => Call::Cordon(id.clone()),
-        What::Uncordon { id } => Call::Uncordon(id.clone()),
+        What::Cordon { id, fleet: false } => Call::Cordon(id.clone()),
+        What::Uncordon { id, fleet: false } => Call::Uncordon(id.clone()),
+        What::Cordon { id, fleet: true } => Call::FleetCordon(id.clone()),
+        What::Uncordon { id, fleet: true } => Call::FleetUncordon(id.clone()),
         What::Quiesce => Call::Quiesce,
         What::Resume => Call::Resume,
         What::Stats { .. } => Call::Stats,
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -21,6 +21,10 @@
     Cordon(String),
     /// Put it back.
     Uncordon(String),
+    /// The same at every node of the fleet.
+    FleetCordon(String),
+    /// See above.
+    FleetUncordon(String),
     /// Send clients away.
     Quiesce,
     /// End that.
@@ -48,7 +52,7 @@
     #[error("the line is empty")]
     Empty,
     /// Nobody knows it.
-    #[error("unknown call; there are health, cordon ID, uncordon ID, quiesce, resume, stats")]
+    #[error("unknown call; there are health, cordon [--fleet] ID, uncordon [--fleet] ID, quiesce, resume, stats")]
     Unknown,
     /// It takes one word more.
     #[error("{0} takes one backend's ID")]
@@ -67,14 +71,18 @@
         let line = std::str::from_utf8(line).map_err(|_| CallError::Text)?;
         let mut words = line.split_ascii_whitespace();
         let call = words.next().ok_or(CallError::Empty)?;
-        let id = words.next();
+        let mut id = words.next();
+        let fleet = id == Some("--fleet") && matches!(call, "cordon" | "uncordon");
+        if fleet {
+            id = words.next();
+        }
         let more = words.next().is_some();
         let with_id = |name| id.filter(|_| !more).map(str::to_owned).ok_or(CallError::NeedsId(name));
         let alone = |name, call| if id.is_none() { Ok(call) } else { Err(CallError::TakesNothing(name)) };
         match call {
             "health" => alone("health", Call::Health),
-            "cordon" => with_id("cordon").map(Call::Cordon),
-            "uncordon" => with_id("uncordon").map(Call::Uncordon),
+            "cordon" => with_id("cordon").map(if fleet { Call::FleetCordon } else { Call::Cordon }),
+            "uncordon" => with_id("uncordon").map(if fleet { Call::FleetUncordon } else { Call::Uncordon }),
             "quiesce" => alone("quiesce", Call::Quiesce),
             "resume" => alone("resume", Call::Resume),
             "stats" => alone("stats", Call::Stats),
@@ -89,6 +97,8 @@
             Call::Health => f.write_str("health"),
             Call::Cordon(id) => write!(f, "cordon {id}"),
             Call::Uncordon(id) => write!(f, "uncordon {id}"),
+            Call::FleetCordon(id) => write!(f, "cordon --fleet {id}"),
+            Call::FleetUncordon(id) => write!(f, "uncordon --fleet {id}"),
             Call::Quiesce => f.write_str("quiesce"),
             Call::Resume => f.write_str("resume"),
             Call::Stats => f.write_str("stats"),
@@ -157,6 +167,8 @@
             Call::Health,
             Call::Cordon(id()),
             Call::Uncordon(id()),
+            Call::FleetCordon(id()),
+            Call::FleetUncordon(id()),
             Call::Quiesce,
             Call::Resume,
             Call::Stats,
@@ -175,6 +187,9 @@
         assert_eq!(why(b"HEALTH"), CallError::Unknown);
         assert_eq!(why(b"health now"), CallError::TakesNothing("health"));
         assert_eq!(why(b"cordon"), CallError::NeedsId("cordon"));
+        assert_eq!(why(b"cordon --fleet"), CallError::NeedsId("cordon"));
+        assert_eq!(why(b"uncordon --fleet a b"), CallError::NeedsId("uncordon"));
+        assert_eq!(why(b"health --fleet"), CallError::TakesNothing("health"));
         assert_eq!(why(b"uncordon a b"), CallError::NeedsId("uncordon"));
         assert_eq!(why(b"quiesce 5"), CallError::TakesNothing("quiesce"));
         assert_eq!(why(b"cordon \xff"), CallError::Text);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -245,6 +245,11 @@
 }
 
 impl Settings {
+    /// The longest aim of all classes.
+    pub fn longest_aim_ms(&self) -> f64 {
+        self.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max)
+    }
+
     /// The aim of a class; none is missed by one that is not there.
     pub fn aim_ms(&self, class: usize) -> f64 {
         self.classes.get(class).map_or(f64::INFINITY, |c| c.aim_ms)
@@ -510,6 +515,53 @@
     pub pressure: f64,
 }
 
+/// What the nodes of a fleet share with this one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetNews {
+    /// What part of each tenant's requests is within its share over the whole fleet, by index; none where that is
+    /// not known, or not well enough.
+    Within(Vec<Option<f64>>),
+    /// Another node found that a backend fails, or serves again.
+    Verdict {
+        /// Which.
+        backend: BackendId,
+        /// Number of the node that found it.
+        who: u16,
+        /// It fails.
+        bad: bool,
+        /// Until when it may be believed.
+        until_ms: f64,
+    },
+    /// A key is known to a backend that is none of its candidates.
+    Placed {
+        /// The key's short hash.
+        key: u32,
+        /// Where.
+        backend: BackendId,
+        /// Until when it may be believed.
+        until_ms: f64,
+    },
+}
+
+/// What a node has found that the others should know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// A backend fails, or serves again.
+    Backend {
+        /// Which.
+        backend: BackendId,
+        /// It fails.
+        bad: bool,
+    },
+    /// A key went to a backend that is none of its candidates.
+    Key {
+        /// The key's short hash.
+        key: u32,
+        /// Where.
+        backend: BackendId,
+    },
+}
+
 /// What a node learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -557,6 +609,8 @@
         /// The backend's report of its load, as far as it gave one.
         load: Load,
     },
+    /// News that the fleet shares; the first of it tells that findings are wanted.
+    Fleet(FleetNews),
     /// A message from another node.
     Message {
         /// Its number.
@@ -612,6 +666,8 @@
         /// What to say.
         bytes: Vec<u8>,
     },
+    /// Share a finding; only where the fleet's news came before.
+    Share(Found),
     /// Subscribe to the list, or end that.
     Watch(bool),
     /// A word for whoever is on call.
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -12,8 +12,8 @@
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use daleturn::Balancer;
 use daleturn::interface::{
-    Action, BackendFigures, BackendId, Ended, Entry, Event, Health, ListKind, Memory, Note, Outcome,
-    Reporting, Request, RequestId, Settings,
+    Action, BackendFigures, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Memory, Note,
+    Outcome, Reporting, Request, RequestId, Settings,
 };
 use daleturn::wire::stable_hash;
 use hyper::StatusCode;
@@ -175,6 +175,8 @@
     Probed(BackendId, Finish, f64),
     /// A timer is due.
     Timer(u64),
+    /// News that the fleet shares.
+    Fleet(FleetNews),
     /// Another node's message.
     Message(u32, Vec<u8>),
 }
@@ -254,6 +256,12 @@
     }
 }
 
+/// Tells a backend's starts apart, in the few bytes that a datagram has for it.
+fn start_of(entry: &Entry) -> u32 {
+    // The low bits are what differs.
+    entry.ready_at_ms.max(0.0) as u64 as u32
+}
+
 /// Why a call that takes a backend out or puts it back is turned down.
 #[derive(Debug, Error)]
 pub enum CordonError {
@@ -282,6 +290,9 @@
     cordoned: BTreeMap<BackendId, String>,
 }
 
+/// Takes a finding with its backend's start.
+type Sharer = Box<dyn Fn(Found, u32)>;
+
 /// Events in, actions out.
 pub struct Driver {
     core: RefCell<Core>,
@@ -297,6 +308,8 @@
     next: Cell<u64>,
     heard: Cell<bool>,
     version: Cell<Option<u64>>,
+    /// Where findings go that the fleet shares.
+    share: RefCell<Option<Sharer>>,
 }
 
 impl Driver {
@@ -330,6 +343,7 @@
             next: Cell::new(0),
             heard: Cell::new(false),
             version: Cell::new(None),
+            share: RefCell::default(),
         })
     }
 
@@ -484,6 +498,41 @@
         }
     }
 
+    /// Findings that the fleet shares go there, each with its backend's start. It is called while an event is
+    /// handled, and must not come back here.
+    pub fn share(&self, share: impl Fn(Found, u32) + 'static) {
+        self.share.replace(Some(Box::new(share)));
+    }
+
+    /// Requests a second that tenants ask of this node, by their number.
+    pub fn asked(&self) -> Vec<f64> {
+        self.core.borrow().balancer.asked()
+    }
+
+    /// The backend with that short id, if this start of it, or any, is listed.
+    pub fn listed_as(&self, short: u32, start: Option<u32>) -> Option<BackendId> {
+        let core = self.core.borrow();
+        let found = core.listed.iter().find(|(id, t)| {
+            id.short() == short && start.is_none_or(|start| start == start_of(&t.entry))
+        });
+        found.map(|(id, _)| *id)
+    }
+
+    /// An operator's word to another node of the fleet: it holds here too, listed or not.
+    pub fn fleet_word(self: &Rc<Self>, uid: &str, out: bool) {
+        let stored = if out { self.state.cordon(uid) } else { self.state.uncordon(uid) };
+        let stored = stored.err().map(|e| e.to_string());
+        let mut cordoned = self.core.borrow().cordoned.clone();
+        let id = BackendId(stable_hash(uid));
+        if out {
+            cordoned.insert(id, uid.to_owned());
+        } else {
+            cordoned.remove(&id);
+        }
+        say!(INFO, "share", backend = uid, out, ?stored, "share.operators_word");
+        self.take(Input::Cordoned(cordoned));
+    }
+
     /// What was learned here.
     pub fn memory(&self) -> Memory {
         self.core.borrow().balancer.memory()
@@ -637,6 +686,13 @@
                 }
             }
             // Discovery may have ended with the node.
+            Action::Share(found) => {
+                let (Found::Backend { backend, .. } | Found::Key { backend, .. }) = found;
+                let start = core.listed.get(&backend).map_or(0, |t| start_of(&t.entry));
+                if let Some(share) = &*self.share.borrow() {
+                    share(found, start);
+                }
+            }
             Action::Watch(on) => drop(self.watch.send(on)),
             Action::Log(note) => tell(core, &note),
         }
@@ -820,6 +876,7 @@
                 Event::Probed { backend, outcome: finish.outcome, elapsed_ms, load: finish.load }
             }
             Input::Timer(token) => Event::Timer(token),
+            Input::Fleet(news) => Event::Fleet(news),
             Input::Message(from, bytes) => Event::Message { from, bytes },
         })
     }
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -137,6 +137,17 @@
         self.look();
     }
 
+    /// A newer process of this node takes its clients.
+    pub fn succeeded(&self) -> bool {
+        let own = self.state.record(self.stage.get(), 0);
+        self.others.borrow().iter().any(|o| o.age > own.age && o.stage == Stage::Serving)
+    }
+
+    /// This process takes clients.
+    pub fn serving(&self) -> bool {
+        self.stage.get() == Stage::Serving
+    }
+
     /// This process takes none any more. True: a newer one does.
     pub fn stops(&self) -> bool {
         self.stage.set(Stage::Stopping);
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -12,6 +12,7 @@
 mod places;
 mod rules;
 mod server;
+mod sharing;
 mod socket;
 mod state;
 mod stats;
@@ -26,6 +27,7 @@
 use crate::peers::Peers;
 use crate::rules::Current;
 use crate::server::Server;
+use crate::sharing::Sharing;
 use crate::socket::{Descriptors, UNCOUNTED};
 use crate::state::{State, memory_from, memory_text};
 use crate::upstream::Upstream;
@@ -76,6 +78,7 @@
     peers: Option<Rc<Peers>>,
     discovery: watch::Sender<(SocketAddr, Discovery)>,
     log: Rc<Log>,
+    sharing: Option<Rc<Sharing>>,
 }
 
 impl Reloading {
@@ -100,6 +103,9 @@
         let rules = self.rules.succeed(settings, names, digest);
         self.log.retune(&options.log);
         self.driver.retune_stats(window(&options));
+        if let Some(sharing) = &self.sharing {
+            sharing.retune(&options.share);
+        }
         let settings = &rules.settings;
         self.driver.retune(&rules);
         self.upstream.retune(settings.connect_timeout_ms, settings.conn_idle_ms);
@@ -213,6 +219,16 @@
         say!(INFO, "state", backends = memory.backends.len(), "state.remembers");
         driver.remember(memory);
     }
+    let sharing = match &peers {
+        Some(peers) if options.share.on => {
+            Sharing::new(&options.share, peers.clone(), driver.clone(), rules.clone(), config.seed)
+        }
+        None if options.share.on => {
+            say!(ERROR, "share", reason = "peer_listen is not configured", "share.unusable");
+            None
+        }
+        _ => None,
+    };
     let (discovery, address) = watch::channel((config.discovery, settings.discovery));
     let reloading = Reloading {
         rules: rules.clone(),
@@ -221,6 +237,7 @@
         peers: peers.clone(),
         discovery,
         log: log.clone(),
+        sharing: sharing.clone(),
     };
     spawn_local(async move {
         let mut running = config.file;
@@ -231,7 +248,9 @@
     let watch =
         Watch { address, known: version, rules: rules.clone(), descriptors: descriptors.clone(), wishes };
     spawn_local(watch.run(driver.clone()));
-    if let Some(peers) = peers.clone() {
+    if let Some(sharing) = sharing.clone() {
+        sharing.listen();
+    } else if let Some(peers) = peers.clone() {
         let driver = driver.clone();
         spawn_local(async move { peers.listen(|from, bytes| driver.message(from, bytes)).await });
     }
@@ -263,6 +282,7 @@
             peers: peers.clone(),
             log,
             durable: durable.clone(),
+            sharing: sharing.clone(),
             name: config.name.clone(),
             started,
             memory: config.memory,
@@ -278,6 +298,9 @@
         UNCOUNTED + reserved,
     );
     spawn_local(handover.clone().run());
+    if let Some(sharing) = sharing.clone() {
+        spawn_local(sharing.run(handover.clone()));
+    }
     tokio::select! {
         () = handover.may_serve() => {}
         // Nobody has come yet, and nobody will.
@@ -304,6 +327,9 @@
     let successor = handover.stops();
     say!(INFO, "node", successor, "node.stopping");
     server.stop(successor);
+    if let Some(sharing) = sharing.filter(|_| !successor) {
+        sharing.leave();
+    }
     if let Some(peers) = peers.filter(|_| successor) {
         peers.leave();
     }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -6,10 +6,12 @@
 use crate::peers::Peers;
 use crate::rules::Current;
 use crate::server::Server;
+use crate::sharing::Sharing;
 use crate::socket::Descriptors;
 use crate::upstream::Upstream;
 use daleturn::calls::{Call, CallError, LONGEST};
-use serde_json::json;
+use daleturn::control::packet::LONGEST_NAME;
+use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,6 +27,8 @@
 const CALL_TIME: Duration = Duration::from_secs(3);
 /// Time for the answer to be taken, and for the caller to close.
 const FAREWELL: Duration = Duration::from_millis(500);
+/// Why a word for the whole fleet is turned down.
+const UNSHARED: &str = "nothing changed: this node shares nothing ([share] is off); say it to each node";
 /// Reads one line, LF or CRLF at its end.
 async fn line(stream: &mut TcpStream) -> Result<Vec<u8>, CallError> {
     let mut line = Vec::new();
@@ -63,6 +67,8 @@
     pub log: Rc<Log>,
     /// What survives the machine, where there is a place for it.
     pub durable: Option<Rc<Durable>>,
+    /// What the nodes share, where they do.
+    pub sharing: Option<Rc<Sharing>>,
     /// The node's name.
     pub name: String,
     /// When the process started.
@@ -124,9 +130,9 @@
     async fn store(&self, call: &Call) -> Result<(), String> {
         let Some(durable) = &self.durable else { return Ok(()) };
         let stored = match call {
-            Call::Cordon(id) | Call::Uncordon(id) => {
+            Call::Cordon(id) | Call::Uncordon(id) | Call::FleetCordon(id) | Call::FleetUncordon(id) => {
                 self.driver.check(id).map_err(|e| e.to_string())?;
-                durable.cordon(id, matches!(call, Call::Cordon(_))).await
+                durable.cordon(id, matches!(call, Call::Cordon(_) | Call::FleetCordon(_))).await
             }
             Call::Quiesce | Call::Resume if self.server.health().is_ok() => {
                 durable.quiesce(matches!(call, Call::Quiesce)).await
@@ -136,7 +142,24 @@
         stored.map_err(|why| format!("nothing changed, it cannot be stored: {why}"))
     }
 
+    /// At this node as any other word, and then at the others.
+    fn fleet_word(&self, id: &str, out: bool) -> Result<String, String> {
+        let sharing = self.sharing.as_ref().ok_or(UNSHARED)?;
+        let said = if out { self.driver.cordon(id) } else { self.driver.uncordon(id) };
+        let said = said.map_err(|e| e.to_string())?;
+        sharing.say(id, out)?;
+        let others = sharing.alive().saturating_sub(1);
+        Ok(format!("{said}, and {others} others hear of it"))
+    }
+
     async fn carry_out(&self, call: &Call) -> Result<String, String> {
+        if let Call::FleetCordon(id) | Call::FleetUncordon(id) = call {
+            // Nothing may hold here that cannot be said to all.
+            self.sharing.as_ref().ok_or(UNSHARED)?;
+            if id.len() > LONGEST_NAME {
+                return Err(format!("nothing changed: an ID for the fleet has at most {LONGEST_NAME} bytes"));
+            }
+        }
         self.store(call).await?;
         let said = match call {
             Call::Health => return self.health(),
@@ -146,6 +169,8 @@
                 said + if lasts { "" } else { ", until this process ends" }
             }
             Call::Uncordon(id) => self.driver.uncordon(id).map_err(|e| e.to_string())?,
+            Call::FleetCordon(id) => self.fleet_word(id, true)?,
+            Call::FleetUncordon(id) => self.fleet_word(id, false)?,
             Call::Quiesce => self.server.quiesce()?,
             Call::Resume => self.server.resume()?,
             Call::Stats => return Ok(self.stats()),
@@ -172,6 +197,7 @@
         let state = self.durable.as_ref().map(|d| d.condition());
         json["state"] = json!({"kept": state.is_some(), "incarnation": state.and_then(|s| s.incarnation),
             "failed": state.map(|s| s.failed)});
+        json["share"] = self.sharing.as_ref().map_or(Value::Null, |s| s.json());
         json["peers"] = json!({"sent": sent, "received": received});
         json["log"] = json!({"unwritten": unwritten, "over": over});
         json.to_string()
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -16,6 +16,7 @@
 pub struct Peers {
     /// None once it is left to another process of this node.
     socket: RefCell<Option<Rc<UdpSocket>>>,
+    listen: SocketAddr,
     left: Notify,
     nodes: Vec<SocketAddr>,
     all: Option<SocketAddr>,
@@ -24,6 +25,15 @@
     received: Cell<u64>,
 }
 
+fn bound(listen: SocketAddr) -> std::io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, None)?;
+    // The next process of this node binds it too, before this one ends.
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&listen.into())?;
+    UdpSocket::from_std(socket.into())
+}
+
 impl Peers {
     /// Listens at `listen`; `own` is this node's number among `nodes`.
     pub fn new(
@@ -32,14 +42,9 @@
         all: Option<SocketAddr>,
         own: u32,
     ) -> std::io::Result<Peers> {
-        let socket = Socket::new(Domain::for_address(listen), Type::DGRAM, None)?;
-        // The next process of this node binds it too, before this one ends.
-        socket.set_reuse_port(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&listen.into())?;
-        let socket = UdpSocket::from_std(socket.into())?;
         Ok(Peers {
-            socket: RefCell::new(Some(Rc::new(socket))),
+            socket: RefCell::new(Some(Rc::new(bound(listen)?))),
+            listen,
             left: Notify::new(),
             nodes,
             all,
@@ -54,6 +59,19 @@
         self.own.set(own);
     }
 
+    /// Takes the address again that was left.
+    pub fn join(&self) -> std::io::Result<()> {
+        if self.socket.borrow().is_none() {
+            self.socket.replace(Some(Rc::new(bound(self.listen)?)));
+        }
+        Ok(())
+    }
+
+    /// How many nodes the tier has, this one included.
+    pub fn nodes(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// Leaves the address to another process of this node.
     pub fn leave(&self) {
         self.socket.replace(None);
--- a/src/options.rs
+++ b/src/options.rs
@@ -35,6 +35,31 @@
     pub stats: Stats,
     /// What survives the machine.
     pub state: State,
+    /// What the nodes share.
+    pub share: Share,
+}
+
+/// `[share]`.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Share {
+    /// Nodes share what they know; needs the platform's peers.
+    pub on: bool,
+    /// What tenants ask of the whole fleet is not believed when it is older, in milliseconds.
+    #[serde(deserialize_with = "within::<_, 4000, 60_000>")]
+    pub limits_ms: u32,
+    /// The same of verdicts on servers.
+    #[serde(deserialize_with = "within::<_, 500, 60_000>")]
+    pub verdicts_ms: u32,
+    /// The same of places of keys.
+    #[serde(deserialize_with = "within::<_, 500, 60_000>")]
+    pub affinity_ms: u32,
+}
+
+impl Default for Share {
+    fn default() -> Share {
+        Share { on: false, limits_ms: 7500, verdicts_ms: 3000, affinity_ms: 5000 }
+    }
 }
 
 /// `[state]`.
@@ -166,7 +191,7 @@
 }
 
 /// Every key that the file may hold.
-pub const KEYS: [Key; 7] = [
+pub const KEYS: [Key; 11] = [
     Key { key: "log.format", unit: "text | json", about: "how a line of the log is written" },
     Key {
         key: "log.level",
@@ -198,6 +223,22 @@
         unit: "directory; taken at a start only",
         about: "keeps operators' words, the list and what was learned over crash and power loss",
     },
+    Key {
+        key: "share.on",
+        unit: "true | false; taken at a start only",
+        about: "nodes share limits of tenants, verdicts on servers, places of keys and operators' words",
+    },
+    Key {
+        key: "share.limits_ms",
+        unit: "milliseconds, 4000 to 60000",
+        about: "older totals of tenants are not used: each node then grants its part alone",
+    },
+    Key {
+        key: "share.verdicts_ms",
+        unit: "milliseconds, 500 to 60000",
+        about: "older verdicts on servers are not used",
+    },
+    Key { key: "share.affinity_ms", unit: "milliseconds, 500 to 60000", about: "older places of keys are not used" },
 ];
 
 #[cfg(test)]
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -27,13 +27,13 @@
     /// Share of strain in recent outcomes.
     pub(crate) strain: f64,
     /// Offered work and worth by class, within and over share.
-    pub(super) offered: Vec<[f64; 2]>,
+    pub(crate) offered: Vec<[f64; 2]>,
     /// Chance of being let in.
-    pub(super) chance: Vec<[f64; 2]>,
+    pub(crate) chance: Vec<[f64; 2]>,
     /// Part of the room that it may fill: less for what is worth least.
-    pub(super) part: Vec<[f64; 2]>,
+    pub(crate) part: Vec<[f64; 2]>,
     /// Requests a second of each tenant at this node.
-    pub(super) tenants: Rates,
+    pub(crate) tenants: Rates,
     /// Tokens for further attempts and for spills.
     pub(super) retry: f64,
     pub(crate) spill: f64,
@@ -126,6 +126,9 @@
             return false;
         };
         self.admission.tenants.note(i);
+        if let Some(part) = self.shared.within.get(i).copied().flatten() {
+            return self.rng.f64() > part;
+        }
         let own = quota / f64::from(self.s.instances.max(1));
         let rate = self.admission.tenants.at(i);
         own > 0.0 && rate > own && self.rng.f64() > own / rate
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,9 +14,10 @@
 mod record;
 mod refusal;
 mod requests;
+mod shared;
 
 use crate::interface::{
-    Action, BackendId, Discovery, Event, Note, Outcome, RequestId, Settings, SettingsError,
+    Action, BackendId, Discovery, Event, Outcome, RequestId, Settings, SettingsError,
 };
 use crate::ledger::Open;
 use crate::measure::{KeyCounts, Learned, Peak, Pressure};
@@ -27,6 +28,7 @@
 use near::Nearness;
 use pick::Place;
 use record::Record;
+use shared::Shared;
 use std::collections::HashMap;
 
 const TICK: u64 = 1;
@@ -67,6 +69,7 @@
     pub(crate) learned: Vec<Learned>,
     keys: KeyCounts,
     near: Nearness,
+    shared: Shared,
     pub(crate) admission: Admission,
     pub(crate) tally: Tally,
     /// Share of recent attempts, over all backends, that failed to connect or answer.
@@ -99,6 +102,7 @@
             learned: Vec::new(),
             keys: KeyCounts::new(),
             near: Nearness::default(),
+            shared: Shared::default(),
             admission: Admission { level: 1.0, room: 1.0, retry: 3.0, spill: 3.0, ..Admission::default() },
             tally: Tally::default(),
             fleet_failing: 0.0,
@@ -114,19 +118,6 @@
         Ok(balancer)
     }
 
-    /// Takes settings on, first or new ones. A class whose number stood for another is learned anew.
-    fn take_on(&mut self, s: Settings) {
-        let same = |i: usize| self.s.classes.get(i) == s.classes.get(i);
-        let learned = |i| self.learned.get(i).filter(|_| same(i)).cloned().unwrap_or_default();
-        self.learned = (0..s.classes.len()).map(learned).collect();
-        let a = &mut self.admission;
-        a.offered.resize(s.classes.len(), [0.0; 2]);
-        a.chance.resize(s.classes.len(), [1.0; 2]);
-        a.part.resize(s.classes.len(), [1.0; 2]);
-        a.tenants.resize(s.tenants.len());
-        self.s = s;
-    }
-
     /// Takes one event at the time `now` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: f64, event: Event, out: &mut Vec<Action>) {
         match event {
@@ -152,6 +143,7 @@
                     self.trial_over(now, i, if live { News::Live } else { News::TrialFailed }, out);
                 }
             }
+            Event::Fleet(news) => self.on_fleet(now, news, out),
             Event::Message { bytes, .. } => self.on_news(now, &bytes, out),
             Event::Started { id, attempt, elapsed_ms, .. } => self.on_started(now, id, attempt, elapsed_ms),
             Event::Settings(s) if s.check().is_ok() => self.take_on(*s),
@@ -159,10 +151,6 @@
         }
     }
 
-    fn longest_aim(&self) -> f64 {
-        self.s.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max)
-    }
-
     /// Housekeeping comes ten times within a fall window or so, never faster than twenty batches.
     fn tick_span(&self) -> f64 {
         (self.s.fall_ms / 6.0).max(20.0 * self.s.tick_ms).max(1.0)
@@ -190,6 +178,7 @@
         let shut = |b: &&Backend| b.up && (b.record.congested || b.cap.blocks(now, b.in_flight));
         self.admission.blocked = self.backends.iter().filter(shut).count() as f64 / up;
         self.admission_tick(seconds);
+        out.extend(self.shared.spilled.drain(..).map(Action::Share));
         self.tell(now, out);
         out.extend(self.backends.iter().filter(|b| now < b.close_until).map(|b| Action::Release(b.id)));
         // Trials by probe, one at a time, for backends past their PRAT.
@@ -200,10 +189,4 @@
             }
         }
     }
-
-    /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
-    fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
-        let Some(tally) = self.tally.take(now) else { return };
-        out.push(Action::Log(Note::Stopped(Box::new((tally, self.look(now))))));
-    }
 }
--- a/src/policy/peers.rs
+++ b/src/policy/peers.rs
@@ -15,9 +15,11 @@
 impl Balancer {
     /// Whether one node meets a backend too seldom to learn of it alone. Then nodes tell each other.
     pub(super) fn seldom(&self) -> bool {
-        self.s.peer_messages
-            && self.s.instances > 1
-            && self.warm.most * self.window() / 1000.0 < ENOUGH_VISITS
+        self.s.peer_messages && !self.shared.on && self.s.instances > 1 && self.meets_few()
+    }
+
+    pub(super) fn meets_few(&self) -> bool {
+        self.warm.most * self.window() / 1000.0 < ENOUGH_VISITS
     }
 
     /// Tells the other nodes what each of them would otherwise have to find out by itself.
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -1,7 +1,7 @@
 //! Picking: two candidates by the request's key, the freer of them, and the spill where both are blocked.
 
 use super::{Backend, Balancer, cold, gates};
-use crate::interface::RequestId;
+use crate::interface::{Found, RequestId};
 use crate::ledger::Open;
 use crate::measure::mix;
 
@@ -39,7 +39,8 @@
         // A key that asks for more than one backend's part of the traffic counts as several keys, drawn by
         // chance: two candidates could not carry it, and nodes that each hold next to nothing in flight
         // cannot see that they do not.
-        let key = open.request.key.map_or_else(|| self.rng.u64(..), mix);
+        let given = open.request.key;
+        let key = given.map_or_else(|| self.rng.u64(..), mix);
         let sparse = (1.0 - 2.0 * f64::from(self.in_flight) / self.places.len().max(1) as f64).max(0.0);
         let parts = 1.0 + sparse * HOT_KEY_PARTS * self.keys.share(key) * self.places.len() as f64;
         let key = if parts < 2.0 { key } else { mix(key ^ self.rng.u64(..parts as u64)) };
@@ -65,6 +66,9 @@
             (false, true) => Some(second),
             (false, false) => None,
         };
+        if let Some(place) = self.placed(now, given, keyed).filter(|i| usable(*i)) {
+            return Some(place);
+        }
         if keyed.is_some() {
             return keyed;
         }
@@ -88,7 +92,11 @@
         }
         self.near.note(far, 1.0);
         self.admission.spill = (self.admission.spill - 1.0).max(0.0);
-        spill.map(|s| s.2)
+        let spill = spill.map(|s| s.2);
+        if let (true, Some(i), Some(key)) = (self.shared.on, spill, given) {
+            self.shared.spilled.push(Found::Key { key: (key >> 32) as u32, backend: self.backends[i].id });
+        }
+        spill
     }
 
     /// Whether the second candidate has fewer of this node's requests in flight or, where both have as many
--- a/src/policy/record.rs
+++ b/src/policy/record.rs
@@ -22,6 +22,10 @@
     /// Trials failed in a row.
     pub(super) failed_trials: u32,
     pub(super) trial_out: bool,
+    /// Nodes that say that it fails, and until when each is believed.
+    pub(super) heard: Vec<(u16, f64)>,
+    /// The others were told that it fails.
+    pub(super) told: bool,
 }
 
 impl Record {
@@ -36,20 +40,20 @@
 
     pub(super) fn revive(&mut self) {
         self.window.clear();
-        *self = Record { window: std::mem::take(&mut self.window), ..Record::default() };
+        *self = Record { window: std::mem::take(&mut self.window), told: self.told, ..Record::default() };
     }
 }
 
 impl Balancer {
     /// N: half of the time a restart takes to warm, so that a failure is forgotten before its cause recurs.
     pub(super) fn window(&self) -> f64 {
-        (self.s.cold_ms / 2.0).max(2.0 * self.longest_aim())
+        (self.s.cold_ms / 2.0).max(2.0 * self.s.longest_aim_ms())
     }
 
     /// t: the longest aim at first, doubled by each failed trial, a quarter of the cold time at most.
     pub(super) fn pause(&mut self, failed_trials: u32) -> f64 {
-        let most = (self.s.cold_ms / 4.0).max(self.longest_aim());
-        let t = (self.longest_aim() * f64::from(1_u32 << failed_trials.min(6))).min(most);
+        let most = (self.s.cold_ms / 4.0).max(self.s.longest_aim_ms());
+        let t = (self.s.longest_aim_ms() * f64::from(1_u32 << failed_trials.min(6))).min(most);
         // Nodes that tell each other trip together: whoever tries first spares the others their trial.
         let spread = if self.seldom() { TRIAL_SPACING * f64::from(self.s.instances) } else { 0.0 };
         t * (0.75 + 0.5 * self.rng.f64()) + spread * self.rng.f64()
@@ -57,8 +61,10 @@
 
     /// Marks a backend congested if it has failed too often.
     pub(super) fn judge(&mut self, now: f64, i: usize, out: &mut Vec<Action>) {
+        let heard = self.heard(now, i);
         let record = &self.backends[i].record;
-        let (failures, tries) = record.window.sums();
+        let (own, tries) = record.window.sums();
+        let (failures, tries) = (own + heard, tries + heard);
         // M grows with traffic and with what the whole fleet suffers: a shared failure says little of one.
         // Where nodes tell each other, it is for what serves hardly anybody: the crowded still serve some.
         let part = 0.25 + 3.0 * self.fleet_failing;
@@ -66,12 +72,15 @@
         // A backend that has just fallen silent has a window full of old answers: a run of failures
         // that chance would bring once in two hundred trips it too.
         let run = 1.0 + 0.005_f64.ln() / self.fleet_failing.clamp(0.02, 0.95).ln();
-        if !record.congested && (failures > most || f64::from(record.doubt) > run) {
+        if !record.congested && (failures > most || f64::from(record.doubt) + heard > run) {
             let t = self.pause(0);
             let b = &mut self.backends[i];
             b.record.congested = true;
             b.record.prat = now + t;
             out.push(Action::Log(Note::Congested { backend: b.id, failures, tries, pause_ms: t }));
+            if own > 0.0 {
+                self.found(i, true, out);
+            }
         }
     }
 
@@ -97,5 +106,6 @@
         }
         b.record.revive();
         out.push(Action::Log(Note::Live { backend: b.id, failed_trials }));
+        self.found(i, false, out);
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -249,7 +249,12 @@
         b.record.note(now, window, failed);
         if failed {
             self.tell_all(News::Failed, i, out);
+            if self.meets_few() {
+                self.found(i, true, out);
+            }
             self.judge(now, i, out);
+        } else if b.record.told && !b.record.congested {
+            self.found(i, false, out);
         } else if failures > TOLD_ANSWERS * tries {
             self.tell_all(News::Answered, i, out);
         }
--- a/src/view.rs
+++ b/src/view.rs
@@ -1,12 +1,31 @@
-//! What others may see of a balancer, and what it takes over from another: it reads and restores state, and
-//! decides nothing.
+//! What others may see of a balancer, and what it takes over from another or from new settings: it reads and restores
+//! state, and decides nothing.
 
-use crate::interface::{BackendFigures, Figures, Known, Memory};
+use crate::interface::{Action, BackendFigures, Figures, Known, Memory, Note, Settings};
 use crate::measure::Learned;
 use crate::policy::{Backend, Balancer, Cap};
 use crate::tally::Look;
 
 impl Balancer {
+    /// Takes settings on, first or new ones. A class whose number stood for another is learned anew.
+    pub(crate) fn take_on(&mut self, s: Settings) {
+        let same = |i: usize| self.s.classes.get(i) == s.classes.get(i);
+        let learned = |i| self.learned.get(i).filter(|_| same(i)).cloned().unwrap_or_default();
+        self.learned = (0..s.classes.len()).map(learned).collect();
+        let a = &mut self.admission;
+        a.offered.resize(s.classes.len(), [0.0; 2]);
+        a.chance.resize(s.classes.len(), [1.0; 2]);
+        a.part.resize(s.classes.len(), [1.0; 2]);
+        a.tenants.resize(s.tenants.len());
+        self.s = s;
+    }
+
+    /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
+    pub(crate) fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
+        let Some(tally) = self.tally.take(now) else { return };
+        out.push(Action::Log(Note::Stopped(Box::new((tally, self.look(now))))));
+    }
+
     /// What the next process of this node can go on from.
     pub fn memory(&self) -> Memory {
         let known = |b: &Backend| {
@@ -33,6 +52,11 @@
         }
     }
 
+    /// Requests a second that each tenant asks of this node, by index.
+    pub fn asked(&self) -> Vec<f64> {
+        (0..self.s.tenants.len()).map(|t| self.admission.tenants.at(t)).collect()
+    }
+
     /// How the fleet looks from here.
     pub(crate) fn look(&self, now: f64) -> Look {
         let count = |f: &dyn Fn(&Backend) -> bool| self.backends.iter().filter(|b| b.up && f(b)).count();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -125,6 +125,11 @@
         self.classes.get(number)?.as_deref()
     }
 
+    /// Name of a tenant; none for a number that new requests are not given.
+    pub fn tenant_name(&self, number: usize) -> Option<&str> {
+        self.tenants.get(number)?.as_deref()
+    }
+
     /// Place of a tenant in the settings.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         Names::index(&self.tenants, name)
@@ -242,6 +247,8 @@
                 let to = to.map_or_else(|| "all".to_owned(), |n| n.to_string());
                 writeln!(out, "announce who={who} neighbourId={to} msg={}", hex(bytes))
             }
+            // The simulator's nodes share nothing but messages.
+            Action::Share(_) => Ok(()),
             Action::Watch(on) => writeln!(out, "watch who={who} want={}", u8::from(*on)),
             Action::Log(text) => writeln!(out, "say_log who={who} text={text}"),
         };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -99,6 +99,7 @@
     pub timers: Vec<(f64, u64)>,
     pub probes: Vec<BackendId>,
     pub logs: Vec<String>,
+    pub found: Vec<Found>,
     pub watches: Vec<f64>,
     /// Last release of the idle connections to a backend.
     pub released: BTreeMap<BackendId, f64>,
@@ -120,6 +121,7 @@
             timers: Vec::new(),
             probes: Vec::new(),
             logs: Vec::new(),
+            found: Vec::new(),
             watches: Vec::new(),
             released: BTreeMap::new(),
             draining: BTreeMap::new(),
@@ -210,6 +212,7 @@
                 self.released.insert(*b, self.now);
             }
             Action::Tell { .. } => assert!(self.s.peer_messages, "messages are not allowed"),
+            Action::Share(found) => self.found.push(*found),
             Action::Log(note) => self.logs.push(note.to_string()),
             Action::Watch(_) => self.watches.push(self.now),
         }
