--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -52,6 +52,11 @@
         #[arg(long)]
         fleet: bool,
     },
+    /// Leave a zone, keep it out, or let it return
+    #[command(subcommand)]
+    Zone(Zone),
+    /// Where each zone stands, why, and since when
+    Zones,
     /// Send clients away: /up says no, answers close their connections
     Quiesce,
     /// End of quiesce
@@ -65,6 +70,31 @@
     },
 }
 
+#[derive(Clone, Debug, Subcommand)]
+enum Zone {
+    /// Leave a zone, whatever its health; it is ERR if the rest is not known to carry what is asked
+    Leave {
+        /// Its name
+        zone: String,
+        /// How long, such as 30m; else until return
+        #[arg(long = "for", value_name = "TIME", value_parser = |t: &str| Call::time(t).map_err(|e| e.to_string()))]
+        for_s: Option<u32>,
+        /// Even if the rest is not known to carry what is asked
+        #[arg(long)]
+        force: bool,
+    },
+    /// Keep a zone out, even if it is healthy, until return
+    Hold {
+        /// Its name
+        zone: String,
+    },
+    /// Let a zone return, along the ramp
+    Return {
+        /// Its name
+        zone: String,
+    },
+}
+
 pub fn run(args: &Args) -> Result<(), Failure> {
     let call = match &args.what {
         What::Health => Call::Health,
@@ -72,6 +102,12 @@
         What::Uncordon { id, fleet: false } => Call::Uncordon(id.clone()),
         What::Cordon { id, fleet: true } => Call::FleetCordon(id.clone()),
         What::Uncordon { id, fleet: true } => Call::FleetUncordon(id.clone()),
+        What::Zone(Zone::Leave { zone, for_s, force }) => {
+            Call::ZoneLeave { zone: zone.clone(), for_s: *for_s, force: *force }
+        }
+        What::Zone(Zone::Hold { zone }) => Call::ZoneHold(zone.clone()),
+        What::Zone(Zone::Return { zone }) => Call::ZoneReturn(zone.clone()),
+        What::Zones => Call::Zones,
         What::Quiesce => Call::Quiesce,
         What::Resume => Call::Resume,
         What::Stats { .. } => Call::Stats,
@@ -80,6 +116,14 @@
         let answer = ask(args.address, &call, Duration::from_secs(args.timeout));
         answer.map_err(|e| format!("{}: {e}", args.address))
     };
+    if let (What::Zones, false) = (&args.what, args.json) {
+        let answer = ask()?.map_err(|why| format!("{}: ERR {why}", args.address))?;
+        let zones: Value =
+            serde_json::from_str(&answer).map_err(|e| format!("the answer cannot be read: {e}"))?;
+        let names = ["zone", "stand", "weight", "since_s", "turns", "failing", "why"];
+        let rows = zones.as_array().into_iter().flatten().map(|z| cells(z, &names)).collect();
+        return print(&table(&["zone", "stand", "weight", "for s", "turns", "failing", "why"], rows));
+    }
     let What::Stats { watch } = args.what else {
         return match (ask()?, args.json) {
             (Ok(said), false) => print(&format!("OK {said}\n")),
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -264,6 +264,8 @@
         ("refused", f.refused as f64),
         ("failed", f.failed as f64),
         ("attempts", f.attempts),
+        ("wasted", f.wasted as f64),
+        ("known keys", f.known_keys),
         ("crossings", f.crossings),
         ("probes", f.probes as f64),
         ("handshakes", f.handshakes as f64),
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -177,6 +177,8 @@
     refused: u64,
     failed: u64,
     crossed: u64,
+    wasted: u64,
+    keys: [u64; 2],
     probes: u64,
     handshakes: u64,
     datagrams: u64,
@@ -217,6 +219,8 @@
             refused: 0,
             failed: 0,
             crossed: 0,
+            wasted: 0,
+            keys: [0; 2],
             probes: 0,
             handshakes: 0,
             datagrams: 0,
@@ -501,6 +505,21 @@
         self.crossed += 1;
     }
 
+    /// An attempt was over at a server without being served.
+    pub fn wasted(&mut self) {
+        self.wasted += 1;
+    }
+
+    /// Servers have met so many keys, and knew so many of them.
+    pub fn keys(&mut self, met: u64, known: u64) {
+        self.keys = [met, known];
+    }
+
+    /// Refused, failed, and attempts at each server, so far: what a live view needs, without the rest.
+    pub fn counts(&self) -> (u64, u64, Vec<u64>) {
+        (self.refused, self.failed, self.servers.clone())
+    }
+
     /// A probe reached a server.
     pub fn probed(&mut self) {
         self.probes += 1;
@@ -587,6 +606,8 @@
             crossed: self.crossed,
             attempts: per(self.attempts, self.sent_tries),
             crossings,
+            wasted: self.wasted,
+            known_keys: per(self.keys[1], self.keys[0]),
             probes: self.probes,
             handshakes: self.handshakes,
             datagrams: self.datagrams,
@@ -649,6 +670,10 @@
     pub attempts: f64,
     /// Attempts that crossed zones, for each first try.
     pub crossings: f64,
+    /// Attempts that were over at a server without being served.
+    pub wasted: u64,
+    /// Part of the requests whose key its server knew.
+    pub known_keys: f64,
     /// Probes of servers.
     pub probes: u64,
     /// Connections opened to servers.
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -39,6 +39,8 @@
 const VIEW: Duration = Duration::from_millis(250);
 /// A request is known to servers for so long after it was sent, in milliseconds.
 const KNOWN_MS: f64 = 30_000.0;
+/// An operator's word for the whole fleet is with every node that can be reached within this, in milliseconds.
+const FLEET_WORD_MS: f64 = 1000.0;
 /// A planned restart drains for so long before the process ends.
 const DRAIN: Duration = Duration::from_millis(1000);
 
@@ -359,6 +361,11 @@
             lock(&world.judge).breach(Rule::Crash, now, why);
         }
     }
+    let (mut met, mut knew) = (0, 0);
+    for host in &world.hosts {
+        host.model(|m| (met, knew) = (met + m.met, knew + m.knew));
+    }
+    lock(&world.judge).keys(met, knew);
     let figures = lock(&world.judge).figures();
     let cpu: u64 = world.nodes.iter().map(|n| n.cpu_ns()).sum();
     let tries = figures.tries * figures.asked as f64;
@@ -434,15 +441,15 @@
     let now = world.now();
     let active = lock(&troubles.active).clone();
     let judge = lock(&world.judge);
-    let figures = judge.figures();
+    let (refused, failed, servers) = judge.counts();
     Moment {
         at_s: now / 1000.0,
         served: judge.lately(now - 600.0, 2000.0),
         nodes: (0..world.nodes.len()).map(|n| world.clients.ready(n)).collect(),
         troubles: world.plan.faults.iter().filter(|f| active.contains(&f.number)).map(name).collect(),
-        refused: figures.refused,
-        failed: figures.failed,
-        servers: figures.servers,
+        refused,
+        failed,
+        servers,
     }
 }
 
@@ -658,10 +665,19 @@
         let answer = nodes::say(operator, words.to_owned()).await;
         let now = self.world.now();
         let mut said = words.split_whitespace();
-        if let (Ok(_), Some(word @ ("cordon" | "uncordon")), Some(id)) = (&answer, said.next(), said.next())
+        let word = said.next();
+        let fleet = words.split_whitespace().nth(1) == Some("--fleet");
+        let id = said.next_back();
+        if let (Ok(_), Some(word @ ("cordon" | "uncordon")), Some(id)) = (&answer, word, id)
             && let Some(server) = self.world.plan.machines.iter().position(|m| m.name == id)
         {
-            lock(&self.world.judge).word(now, node.number, server, word == "cordon");
+            let mut judge = lock(&self.world.judge);
+            judge.word(now, node.number, server, word == "cordon");
+            for other in (0..self.world.nodes.len()).filter(|n| fleet && *n != node.number) {
+                // Back at once: who heard of it already does no wrong. Out once the word must have come.
+                let at = if word == "cordon" { now + FLEET_WORD_MS } else { now };
+                judge.word(at, other, server, word == "cordon");
+            }
         }
         answer.map(drop).map_err(|e| format!("node {} to {words:?}: {e}", node.number))
     }
--- a/crates/lab/src/real/servers.rs
+++ b/crates/lab/src/real/servers.rs
@@ -60,12 +60,17 @@
     id: u64,
     attempt: usize,
     never_ran: bool,
+    served: bool,
 }
 
 impl Drop for Out<'_> {
     fn drop(&mut self) {
         let now = self.world.now();
-        lock(&self.world.judge).attempt_over(now, self.id, self.attempt, self.never_ran);
+        let mut judge = lock(&self.world.judge);
+        judge.attempt_over(now, self.id, self.attempt, self.never_ran);
+        if !self.served {
+            judge.wasted();
+        }
     }
 }
 
@@ -314,7 +319,7 @@
         let (Some(attempt), Some((id, arrival))) = (known, asked) else {
             return Ok(answer(StatusCode::BAD_REQUEST, "nobody sent this".to_owned()));
         };
-        let mut out = Out { world, id, attempt, never_ran: false };
+        let mut out = Out { world, id, attempt, never_ran: false, served: false };
         let wrong = *lock(&self.wrong);
         // The same request meets the same luck at the same server.
         let luck = world.luck(id ^ (self.number as u64) << 48);
@@ -368,6 +373,7 @@
             return Err(broken());
         }
         world.way(node, self.number, &self.links).await;
+        out.served = true;
         Ok(answer(StatusCode::OK, format!("{id:016x} s-{}\n", self.number)))
     }
 }
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -73,6 +73,10 @@
     /// What was sent to it while cold: when, and how much.
     sent: VecDeque<(f64, f64)>,
     fallen: bool,
+    /// Requests with a key so far, over all its starts, and those whose key it knew.
+    pub met: u64,
+    /// See above.
+    pub knew: u64,
     /// Work done since it came up, in milliseconds of a core of speed 1.
     pub done_ms: f64,
 }
@@ -97,6 +101,8 @@
             known: HashMap::new(),
             sent: VecDeque::new(),
             fallen: false,
+            met: 0,
+            knew: 0,
             done_ms: 0.0,
         }
     }
@@ -105,7 +111,8 @@
     pub fn restart(&mut self, now: f64) -> Vec<u64> {
         let lost = self.work.iter().chain(&self.waiting).map(|j| j.id).collect();
         let (pace, taken, pause_ms) = (self.pace, self.taken, self.pause_ms);
-        *self = Server { pace, taken, pause_ms, now, ..Server::new(self.spec.clone(), now) };
+        let (met, knew) = (self.met, self.knew);
+        *self = Server { pace, taken, pause_ms, met, knew, now, ..Server::new(self.spec.clone(), now) };
         lost
     }
 
@@ -223,6 +230,8 @@
             return Admit::Full;
         }
         let warm = key.and_then(|k| self.known.get(&k)).is_some_and(|at| now - at < self.spec.key_ms);
+        self.met += u64::from(key.is_some());
+        self.knew += u64::from(warm);
         let left = if warm { work_ms * (1.0 - self.spec.key_saving) } else { work_ms };
         if self.cold(now) {
             self.sent.push_back((now, left));
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -25,6 +25,22 @@
     FleetCordon(String),
     /// See above.
     FleetUncordon(String),
+    /// Leave a zone, whatever its health, for so many seconds or until it may return; `force`: also where the rest is
+    /// not known to carry what is asked.
+    ZoneLeave {
+        /// Its name.
+        zone: String,
+        /// Seconds.
+        for_s: Option<u32>,
+        /// See above.
+        force: bool,
+    },
+    /// Keep a zone out, even if it is healthy, until it may return.
+    ZoneHold(String),
+    /// Let it return, along the ramp.
+    ZoneReturn(String),
+    /// Where each zone stands.
+    Zones,
     /// Send clients away.
     Quiesce,
     /// End that.
@@ -52,8 +68,16 @@
     #[error("the line is empty")]
     Empty,
     /// Nobody knows it.
-    #[error("unknown call; there are health, cordon [--fleet] ID, uncordon [--fleet] ID, quiesce, resume, stats")]
+    #[error(
+        "unknown call; there are health, cordon [--fleet] ID, uncordon [--fleet] ID, zone, zones, quiesce, resume, stats"
+    )]
     Unknown,
+    /// What follows `zone` is none of its forms.
+    #[error("zone takes leave NAME [--for TIME] [--force], hold NAME, or return NAME")]
+    Zone,
+    /// Not a time.
+    #[error("{0:?} is no time such as 90s, 30m or 2h, of a day at most")]
+    Time(String),
     /// It takes one word more.
     #[error("{0} takes one backend's ID")]
     NeedsId(&'static str),
@@ -71,6 +95,9 @@
         let line = std::str::from_utf8(line).map_err(|_| CallError::Text)?;
         let mut words = line.split_ascii_whitespace();
         let call = words.next().ok_or(CallError::Empty)?;
+        if call == "zone" {
+            return Call::zone(&words.collect::<Vec<_>>());
+        }
         let mut id = words.next();
         let fleet = id == Some("--fleet") && matches!(call, "cordon" | "uncordon");
         if fleet {
@@ -85,10 +112,43 @@
             "uncordon" => with_id("uncordon").map(if fleet { Call::FleetUncordon } else { Call::Uncordon }),
             "quiesce" => alone("quiesce", Call::Quiesce),
             "resume" => alone("resume", Call::Resume),
+            "zones" => alone("zones", Call::Zones),
             "stats" => alone("stats", Call::Stats),
             _ => Err(CallError::Unknown),
         }
     }
+
+    fn zone(words: &[&str]) -> Result<Call, CallError> {
+        match words {
+            ["hold", zone] => Ok(Call::ZoneHold((*zone).to_owned())),
+            ["return", zone] => Ok(Call::ZoneReturn((*zone).to_owned())),
+            ["leave", zone, more @ ..] => {
+                let (mut for_s, mut force) = (None, false);
+                let mut more = more.iter();
+                while let Some(word) = more.next() {
+                    match (*word, for_s, force) {
+                        ("--force", _, false) => force = true,
+                        ("--for", None, _) => {
+                            for_s = Some(Call::time(more.next().ok_or(CallError::Zone)?)?)
+                        }
+                        _ => return Err(CallError::Zone),
+                    }
+                }
+                Ok(Call::ZoneLeave { zone: (*zone).to_owned(), for_s, force })
+            }
+            _ => Err(CallError::Zone),
+        }
+    }
+
+    /// Reads a time as people write it, in seconds.
+    ///
+    /// # Errors
+    /// It is none, or longer than a day.
+    pub fn time(text: &str) -> Result<u32, CallError> {
+        let read = humantime::parse_duration(text).ok().map(|d| d.as_secs());
+        let read = read.and_then(|s| u32::try_from(s).ok()).filter(|s| (1..=86_400).contains(s));
+        read.ok_or_else(|| CallError::Time(text.to_owned()))
+    }
 }
 
 impl fmt::Display for Call {
@@ -99,6 +159,16 @@
             Call::Uncordon(id) => write!(f, "uncordon {id}"),
             Call::FleetCordon(id) => write!(f, "cordon --fleet {id}"),
             Call::FleetUncordon(id) => write!(f, "uncordon --fleet {id}"),
+            Call::ZoneLeave { zone, for_s, force } => {
+                write!(f, "zone leave {zone}")?;
+                if let Some(for_s) = for_s {
+                    write!(f, " --for {for_s}s")?;
+                }
+                f.write_str(if *force { " --force" } else { "" })
+            }
+            Call::ZoneHold(zone) => write!(f, "zone hold {zone}"),
+            Call::ZoneReturn(zone) => write!(f, "zone return {zone}"),
+            Call::Zones => f.write_str("zones"),
             Call::Quiesce => f.write_str("quiesce"),
             Call::Resume => f.write_str("resume"),
             Call::Stats => f.write_str("stats"),
@@ -169,6 +239,11 @@
             Call::Uncordon(id()),
             Call::FleetCordon(id()),
             Call::FleetUncordon(id()),
+            Call::ZoneLeave { zone: id(), for_s: Some(1800), force: true },
+            Call::ZoneLeave { zone: id(), for_s: None, force: false },
+            Call::ZoneHold(id()),
+            Call::ZoneReturn(id()),
+            Call::Zones,
             Call::Quiesce,
             Call::Resume,
             Call::Stats,
@@ -189,6 +264,19 @@
         assert_eq!(why(b"cordon"), CallError::NeedsId("cordon"));
         assert_eq!(why(b"cordon --fleet"), CallError::NeedsId("cordon"));
         assert_eq!(why(b"uncordon --fleet a b"), CallError::NeedsId("uncordon"));
+        for line in [
+            &b"zone"[..],
+            b"zone a",
+            b"zone leave",
+            b"zone leave a --for",
+            b"zone hold a b",
+            b"zone leave a b",
+        ] {
+            assert_eq!(why(line), CallError::Zone, "{line:?}");
+        }
+        assert_eq!(why(b"zone leave a --for 9"), CallError::Time("9".to_owned()));
+        assert_eq!(why(b"zone leave a --for 25h"), CallError::Time("25h".to_owned()));
+        assert_eq!(Call::parse(b"zone leave a --for 30m"), Call::parse(b"zone leave a --for 1800s"));
         assert_eq!(why(b"health --fleet"), CallError::TakesNothing("health"));
         assert_eq!(why(b"uncordon a b"), CallError::NeedsId("uncordon"));
         assert_eq!(why(b"quiesce 5"), CallError::TakesNothing("quiesce"));
--- a/src/control/fleet.rs
+++ b/src/control/fleet.rs
@@ -84,10 +84,12 @@
     },
     /// An operator's word for the whole fleet.
     Said {
-        /// The server's uid.
-        server: &'a str,
+        /// What it is about: a server's uid, or `zone:` and a zone's name.
+        about: &'a str,
         /// It is out.
         out: bool,
+        /// For so many seconds; 0 until it is taken back.
+        for_s: u32,
     },
     /// This node ends.
     Leave,
@@ -122,10 +124,14 @@
     },
     /// An operator's word to another node.
     Word {
-        /// The server's uid.
-        server: String,
+        /// What it is about.
+        about: String,
         /// It is out.
         out: bool,
+        /// For so many seconds; 0 until it is taken back.
+        for_s: u32,
+        /// Age in milliseconds.
+        age: Ms,
     },
 }
 
@@ -368,10 +374,10 @@
                     self.spread(now, &News::Place(key), None);
                 }
             }
-            Event::Said { server, out } => {
-                if !server.is_empty() && server.len() <= LONGEST_NAME {
-                    self.shared.say(now, self.members.own(), server, out);
-                    self.spread(now, &News::Word(server.to_owned()), None);
+            Event::Said { about, out, for_s } => {
+                if !about.is_empty() && about.len() <= LONGEST_NAME {
+                    self.shared.say(now, self.members.own(), about, out, for_s);
+                    self.spread(now, &News::Word(about.to_owned()), None);
                 }
             }
             Event::Leave => {
@@ -416,7 +422,8 @@
         self.parent = self.members.parent(self.members.own());
         let children = self.members.children();
         // One that reports here by its own view is heard until it does not any more.
-        let adopted = |n: &Node, c: &Child| now.saturating_sub(c.at) < 2 * PERIOD_MS && self.members.present(*n);
+        let adopted =
+            |n: &Node, c: &Child| now.saturating_sub(c.at) < 2 * PERIOD_MS && self.members.present(*n);
         self.children.retain(|n, c| children.contains(n) || adopted(n, c));
         for child in children {
             self.children.entry(child).or_insert(Child { at: now, ..Child::default() });
@@ -682,7 +689,8 @@
             self.children.values_mut().for_each(|c| c.asked = 0);
             self.report(now, out);
         }
-        let expected = self.wave.at + PERIOD_MS + AGAIN_LEVEL_MS * Ms::from(self.wave.depth.saturating_sub(1));
+        let expected =
+            self.wave.at + PERIOD_MS + AGAIN_LEVEL_MS * Ms::from(self.wave.depth.saturating_sub(1));
         if AGAIN_MS.get(self.down_asked).is_some_and(|ms| now >= expected + ms)
             && let Some(parent) = self.parent
         {
@@ -774,7 +782,7 @@
             Item::Word(server, word, age) => {
                 if self.shared.word(&server, word, now.saturating_sub(age)) {
                     self.spread(now, &News::Word(server.clone()), Some(from));
-                    out.push(Action::Word { server, out: word.out });
+                    out.push(Action::Word { about: server, out: word.out, for_s: word.for_s, age });
                 } else if self.shared.said(&server).is_some_and(|known| known.value > word) {
                     // The teller is behind.
                     let line = self.lines.entry(from).or_default();
@@ -810,7 +818,13 @@
             }
             Body::Down { root, wave, depth, mut totals, digests } => {
                 totals.trim();
-                self.down(now, from, Wave { root, number: wave, depth: depth.saturating_add(1), at: now }, totals, out);
+                self.down(
+                    now,
+                    from,
+                    Wave { root, number: wave, depth: depth.saturating_add(1), at: now },
+                    totals,
+                    out,
+                );
                 let own = self.digests();
                 self.unlike = if digests == own { 0 } else { self.unlike + 1 };
                 let settled = now.saturating_sub(self.changed) > UNDER_WAY_MS;
@@ -850,7 +864,9 @@
                 self.members.asked(now, from, message, &mut outputs);
                 self.carry_out(now, outputs, Some(from), out);
             }
-            Body::Compare { first, classes, words } => self.compared(now, from, first, &classes, words, out),
+            Body::Compare { first, classes, words } => {
+                self.compared(now, from, first, &classes, words, out)
+            }
         }
     }
 
@@ -882,7 +898,15 @@
     }
 
     /// Another knows these statuses: it hears of those that are others here.
-    fn compared(&mut self, now: Ms, from: Node, first: Node, classes: &[u8], words: u32, out: &mut Vec<Action>) {
+    fn compared(
+        &mut self,
+        now: Ms,
+        from: Node,
+        first: Node,
+        classes: &[u8],
+        words: u32,
+        out: &mut Vec<Action>,
+    ) {
         let own = self.members.classes(first, classes.len());
         let unlike = own.iter().zip(classes).zip(first..).filter(|((a, b), _)| a != b).map(|(_, n)| n);
         let known = unlike.filter_map(|n| Some((n, self.members.life(n)?)));
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -152,7 +152,8 @@
     /// One of `count`, which are all taken to be there until they are found not to be.
     pub fn new(now: Ms, own: Node, count: u16, incarnation: u32) -> Members {
         let life = Life { incarnation: 0, beat: 0, status: ALIVE };
-        let unknown = Member { life, heard: now, since: now, until: 0, accused: false, flaps: 0, flapped: now };
+        let unknown =
+            Member { life, heard: now, since: now, until: 0, accused: false, flaps: 0, flapped: now };
         let mut members = vec![unknown; usize::from(count.max(own.saturating_add(1)))];
         if let Some(me) = members.get_mut(usize::from(own)) {
             me.life.incarnation = incarnation.clamp(1, LAST_INCARNATION - 1);
@@ -508,7 +509,8 @@
 
     fn carry_on(&mut self, now: Ms, draw: &mut dyn FnMut() -> u64, out: &mut Vec<Output>) {
         let slower = Ms::from(1 + self.late);
-        let due: Vec<Node> = self.checks.iter().filter(|(_, c)| now >= c.due).map(|(who, _)| *who).collect();
+        let due: Vec<Node> =
+            self.checks.iter().filter(|(_, c)| now >= c.due).map(|(who, _)| *who).collect();
         for who in due {
             let Some(check) = self.checks.get_mut(&who) else { continue };
             if check.asked < QUESTIONS {
@@ -617,8 +619,7 @@
         assert_eq!(seen[0], (ping(1), ALIVE));
         assert_eq!(seen[1], (ping(1), ALIVE));
         assert!(seen[2..].iter().any(|s| s.0 == Output::Send(2, Message::PingFor(1))));
-        let spread: Vec<Status> =
-            seen.iter().filter(|s| s.0 == Output::Spread(1)).map(|s| s.1).collect();
+        let spread: Vec<Status> = seen.iter().filter(|s| s.0 == Output::Spread(1)).map(|s| s.1).collect();
         assert_eq!(spread, [Status::Suspect, Status::Gone]);
         assert_eq!(m.life(2).unwrap().status, ALIVE);
     }
@@ -671,7 +672,11 @@
         let mut out = Vec::new();
         m.heard(0, 3, life(5, 9, ALIVE), &mut out);
         out.clear();
-        for wild in [life(u32::MAX, 0, Status::Gone), life(5_000_000, 0, Status::Gone), life(5, u32::MAX, Status::Gone)] {
+        for wild in [
+            life(u32::MAX, 0, Status::Gone),
+            life(5_000_000, 0, Status::Gone),
+            life(5, u32::MAX, Status::Gone),
+        ] {
             assert!(!m.told(0, 3, wild, 0, &mut out));
         }
         assert_eq!(m.life(3), Some(life(5, 9, ALIVE)));
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,3 +8,4 @@
 pub mod members;
 pub mod packet;
 pub mod share;
+pub mod zones;
--- a/src/control/packet.rs
+++ b/src/control/packet.rs
@@ -169,6 +169,7 @@
                 out.put_u8(if word.out { 5 } else { 6 });
                 out.put_u32(word.number);
                 out.put_u16(word.who);
+                out.put_u32(word.for_s);
                 out.put_u32(u32::try_from(*age / 1000).unwrap_or(u32::MAX));
                 out.put_u8(server.len() as u8);
                 out.put_slice(server.as_bytes());
@@ -310,7 +311,8 @@
                 Item::Place(key, place, Ms::from(self.u16()?))
             }
             kind @ (5 | 6) => {
-                let word = Word { number: self.u32()?, who: self.u16()?, out: kind == 5 };
+                let word =
+                    Word { number: self.u32()?, who: self.u16()?, out: kind == 5, for_s: self.u32()? };
                 let (age, length) = (Ms::from(self.u32()?) * 1000, usize::from(self.u8()?));
                 let name = self.0.get(..length).filter(|_| (1..=LONGEST_NAME).contains(&length))?;
                 let name = std::str::from_utf8(name).ok()?.to_owned();
@@ -428,7 +430,7 @@
             Item::Member(8, Life { incarnation: 1, beat: 2, status: Status::Gone }),
             Item::Finding(77, 8, finding, 1234),
             Item::Place(5, Place { number: 1, who: 2, server: 3 }, 40),
-            Item::Word("s-1".to_owned(), Word { number: 1, who: 2, out: false }, 60_000),
+            Item::Word("s-1".to_owned(), Word { number: 1, who: 2, out: false, for_s: 9 }, 60_000),
         ]
     }
 
--- a/src/control/share.rs
+++ b/src/control/share.rs
@@ -90,8 +90,10 @@
     pub number: u32,
     /// Who was told; breaks ties.
     pub who: Node,
-    /// The server is out.
+    /// It is out.
     pub out: bool,
+    /// For so many seconds from when it was said; 0 until it is taken back.
+    pub for_s: u32,
 }
 
 /// A value and when it was made, by this node's clock.
@@ -197,7 +199,15 @@
     /// How many nodes' findings against this start of a server are younger than `age`.
     pub fn against(&self, now: Ms, server: u32, start: u32, age: Ms) -> usize {
         let of = self.findings.all.range((server, 0)..=(server, Node::MAX));
-        of.filter(|(_, v)| v.value.bad && v.value.start == start && now.saturating_sub(v.made) <= age).count()
+        of.filter(|(_, v)| v.value.bad && v.value.start == start && now.saturating_sub(v.made) <= age)
+            .count()
+    }
+
+    /// The same of any start, without one node's own.
+    pub fn against_by_others(&self, now: Ms, server: u32, own: Node, age: Ms) -> usize {
+        let of = self.findings.all.range((server, 0)..=(server, Node::MAX));
+        let fresh = |made: Ms| now.saturating_sub(made) <= age;
+        of.filter(|((_, who), v)| *who != own && v.value.bad && fresh(v.made)).count()
     }
 
     /// This node puts a key there.
@@ -222,8 +232,8 @@
     }
 
     /// This node was told that a server is out, or back.
-    pub fn say(&mut self, now: Ms, who: Node, server: &str, out: bool) -> Word {
-        let word = Word { number: self.next(), who, out };
+    pub fn say(&mut self, now: Ms, who: Node, server: &str, out: bool, for_s: u32) -> Word {
+        let word = Word { number: self.next(), who, out, for_s };
         self.word(server, word, now);
         word
     }
@@ -254,6 +264,7 @@
             hash.update(&word.number.to_be_bytes());
             hash.update(&word.who.to_be_bytes());
             hash.update(&[u8::from(word.out)]);
+            hash.update(&word.for_s.to_be_bytes());
         }
         hash.finalize()
     }
@@ -291,15 +302,25 @@
     }
 
     fn fact() -> impl Strategy<Value = Fact> {
-        let finding = (0_u32..3, 0_u16..3, 1_u32..3, 0_u16..4, any::<bool>()).prop_map(|(s, w, i, n, bad)| {
-            // An author gives a number to one finding only.
-            let start = u32::from(n) / 2;
-            Fact::Finding(s, w, Finding { incarnation: i, number: n, start, bad: bad && n > 0 || n == 3 })
+        let finding =
+            (0_u32..3, 0_u16..3, 1_u32..3, 0_u16..4, any::<bool>()).prop_map(|(s, w, i, n, bad)| {
+                // An author gives a number to one finding only.
+                let start = u32::from(n) / 2;
+                Fact::Finding(
+                    s,
+                    w,
+                    Finding { incarnation: i, number: n, start, bad: bad && n > 0 || n == 3 },
+                )
+            });
+        let place = (0_u32..3, 1_u32..9, 0_u16..3).prop_map(|(k, n, w)| {
+            Fact::Place(k, Place { number: n, who: w, server: n * 7 + u32::from(w) })
+        });
+        let word = (0_u32..3, 1_u32..9, 0_u16..3).prop_map(|(s, n, w)| {
+            Fact::Word(
+                format!("s-{s}"),
+                Word { number: n, who: w, out: (n + u32::from(w)) % 2 == 0, for_s: 0 },
+            )
         });
-        let place = (0_u32..3, 1_u32..9, 0_u16..3)
-            .prop_map(|(k, n, w)| Fact::Place(k, Place { number: n, who: w, server: n * 7 + u32::from(w) }));
-        let word = (0_u32..3, 1_u32..9, 0_u16..3)
-            .prop_map(|(s, n, w)| Fact::Word(format!("s-{s}"), Word { number: n, who: w, out: (n + u32::from(w)) % 2 == 0 }));
         prop_oneof![finding, place, word]
     }
 
@@ -338,19 +359,26 @@
         for n in 0..5000_u32 {
             shared.finding(n, 1, finding, Ms::from(n));
             shared.put(Ms::from(n), 1, n, 7);
-            shared.say(Ms::from(n), 1, &format!("s-{n}"), n % 2 == 0);
+            shared.say(Ms::from(n), 1, &format!("s-{n}"), n % 2 == 0, 0);
         }
         assert_eq!(shared.counts(), [VERDICTS, PLACES, WORDS]);
         assert!(shared.words().all(|w| w.1.out), "words that took something back went first");
         assert!(shared.found(0, 1).is_none() && shared.found(4999, 1).is_some());
-        assert!(!shared.word("far", Word { number: u32::MAX, who: 1, out: true }, 0), "from the far future");
+        assert!(
+            !shared.word("far", Word { number: u32::MAX, who: 1, out: true, for_s: 0 }, 0),
+            "from the far future"
+        );
     }
 
     #[test]
     fn totals_keep_to_the_tenants_that_ask_most_and_to_rates_that_can_be() {
         let mut all = Totals::default();
         for n in 0..20 {
-            all.add(&Totals { tenants: vec![(n, n as f32), (99, f32::NAN)], counted: 1, age: u64::from(n) });
+            all.add(&Totals {
+                tenants: vec![(n, n as f32), (99, f32::NAN)],
+                counted: 1,
+                age: u64::from(n),
+            });
         }
         all.trim();
         assert_eq!((all.tenants.len(), all.counted, all.age), (TENANTS, 20, 19));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -611,6 +611,8 @@
     },
     /// News that the fleet shares; the first of it tells that findings are wanted.
     Fleet(FleetNews),
+    /// What part of its usual weight each zone has, by number: 1 where none is told, a trickle where it is left.
+    Zones(Vec<f64>),
     /// A message from another node.
     Message {
         /// Its number.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,6 +1,31 @@
-//! Requests that are open and their attempts: who was sent what, and what has come back. It decides nothing.
+//! Backends as this node knows them, requests that are open and their attempts: who was sent what, and what has come
+//! back. It decides nothing.
 
 use crate::interface::{BackendId, Request};
+use crate::measure::Pressure;
+use crate::policy::{Cap, Record};
+
+/// One backend as this node knows it.
+#[derive(Debug, Default)]
+pub(crate) struct Backend {
+    pub(crate) id: BackendId,
+    pub(crate) zone: u16,
+    pub(crate) cell: u32,
+    pub(crate) units: f64,
+    /// Listed and up; sends elsewhere are against the drain rule.
+    pub(crate) up: bool,
+    /// Until when idle connections are closed again at each tick: one whose handshake was under way at the
+    /// notice, or at the last outcome, turns idle later. 0 where nothing is to be closed.
+    pub(crate) close_until: f64,
+    pub(crate) in_flight: u32,
+    /// Start of its cold time, by the list or by its silence.
+    pub(crate) cold_since: f64,
+    /// Work that the cold budget allowed at the last tick, less what was sent since, in mean requests.
+    pub(crate) cold_tokens: f64,
+    pub(crate) record: Record,
+    pub(crate) cap: Cap,
+    pub(crate) load: Pressure,
+}
 
 /// An attempt that was sent.
 #[derive(Debug)]
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -11,9 +11,10 @@
 use crate::stats::{End, Stats};
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use daleturn::Balancer;
+use daleturn::control::zones::{Change, Order, Zones};
 use daleturn::interface::{
-    Action, BackendFigures, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Memory, Note,
-    Outcome, Reporting, Request, RequestId, Settings,
+    Action, BackendFigures, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Memory,
+    Note, Outcome, Reporting, Request, RequestId, Settings,
 };
 use daleturn::wire::stable_hash;
 use hyper::StatusCode;
@@ -177,6 +178,8 @@
     Timer(u64),
     /// News that the fleet shares.
     Fleet(FleetNews),
+    /// New weights of zones.
+    Zones(Vec<f64>),
     /// Another node's message.
     Message(u32, Vec<u8>),
 }
@@ -256,6 +259,12 @@
     }
 }
 
+/// The second of the system's monotonic clock.
+fn rules_second() -> u64 {
+    static FIRST: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    FIRST.get_or_init(Instant::now).elapsed().as_secs()
+}
+
 /// Tells a backend's starts apart, in the few bytes that a datagram has for it.
 fn start_of(entry: &Entry) -> u32 {
     // The low bits are what differs.
@@ -288,8 +297,15 @@
     listed: HashMap<BackendId, Target>,
     /// Who is out by the operators' word, whatever is listed.
     cordoned: BTreeMap<BackendId, String>,
+    /// How zones fare as a whole, where that is judged.
+    zones: Option<Zones>,
+    /// Requests of this second and of the one before.
+    asked: (u64, [u32; 2]),
 }
 
+/// A warm backend is taken to serve so many times what it was lately seen to.
+const HEADROOM: f64 = 1.5;
+
 /// Takes a finding with its backend's start.
 type Sharer = Box<dyn Fn(Found, u32)>;
 
@@ -331,6 +347,8 @@
                 places: HashMap::new(),
                 listed: HashMap::new(),
                 cordoned: state.cordoned(),
+                zones: None,
+                asked: (0, [0; 2]),
             }),
             inbox: RefCell::default(),
             clock: Clock::new(),
@@ -512,9 +530,10 @@
     /// The backend with that short id, if this start of it, or any, is listed.
     pub fn listed_as(&self, short: u32, start: Option<u32>) -> Option<BackendId> {
         let core = self.core.borrow();
-        let found = core.listed.iter().find(|(id, t)| {
-            id.short() == short && start.is_none_or(|start| start == start_of(&t.entry))
-        });
+        let found = core
+            .listed
+            .iter()
+            .find(|(id, t)| id.short() == short && start.is_none_or(|start| start == start_of(&t.entry)));
         found.map(|(id, _)| *id)
     }
 
@@ -533,6 +552,73 @@
         self.take(Input::Cordoned(cordoned));
     }
 
+    /// Zones are judged as a whole from here on.
+    pub fn judge_zones(&self, own: Option<u16>, cold_ms: f64) {
+        self.core.borrow_mut().zones = Some(Zones::new(self.clock.now_ms(), own, cold_ms));
+    }
+
+    /// Looks at the zones, where they are judged: `words` says how many other nodes hold a zone for lost, and
+    /// `others` whether any can be heard. Hands back what changed.
+    pub fn look_at_zones(&self, others: bool, words: impl Fn(u16) -> usize) -> Vec<Change> {
+        let core = &mut *self.core.borrow_mut();
+        let Some(zones) = &mut core.zones else { return Vec::new() };
+        let mut up = BTreeMap::new();
+        for target in core.listed.values() {
+            let own =
+                target.entry.health == Health::Up && !core.cordoned.contains_key(&target.entry.backend);
+            *up.entry(target.entry.zone).or_insert(0_usize) += usize::from(own);
+        }
+        let now = self.clock.now_ms();
+        let mut tripped = BTreeMap::new();
+        for b in core.balancer.figures(now).backends.iter().filter(|b| b.up && b.trial_at_ms.is_some()) {
+            *tripped.entry(b.zone).or_insert(0_usize) += 1;
+        }
+        zones.servers(now, &up, &tripped);
+        up.keys().for_each(|zone| zones.words(*zone, words(*zone)));
+        zones.tick(now, others)
+    }
+
+    /// An operator's order on a zone, or that it is taken back. False: no such zone.
+    pub fn order_zone(&self, zone: u16, order: Option<Order>) -> bool {
+        let now = self.clock.now_ms();
+        self.core.borrow_mut().zones.as_mut().is_some_and(|z| z.order(now, zone, order))
+    }
+
+    /// Where the zones stand; none where they are not judged.
+    pub fn zones(&self) -> Option<Vec<daleturn::control::zones::Figures>> {
+        self.core.borrow().zones.as_ref().map(Zones::figures)
+    }
+
+    /// This node alone is cut off, as far as it can tell.
+    pub fn blind(&self) -> bool {
+        self.core.borrow().zones.as_ref().is_some_and(Zones::blind)
+    }
+
+    /// Whether what is asked fits what is left without a zone.
+    ///
+    /// # Errors
+    /// It does not, as far as is known; with the figures.
+    pub fn without_zone(&self, zone: u16) -> Result<(), String> {
+        let core = self.core.borrow();
+        let figures = core.balancer.figures(self.clock.now_ms());
+        let left_out = |b: &BackendFigures| {
+            let zones = core.zones.as_ref().map(Zones::figures).unwrap_or_default();
+            b.zone == zone || zones.iter().any(|z| z.zone == b.zone && matches!(z.stand, "out" | "held"))
+        };
+        let left =
+            figures.backends.iter().filter(|b| b.up && b.trial_at_ms.is_none() && !left_out(b)).count();
+        let asked = core.asked.1.iter().copied().max().unwrap_or(0);
+        let each = figures.warm_rate * HEADROOM;
+        if left > 0 && f64::from(asked) <= each * left as f64 {
+            return Ok(());
+        }
+        Err(format!(
+            "nothing changed: {left} backends would be left, known to serve {:.0} a second for this node, and {asked} are \
+             asked; --force does it all the same",
+            each * left as f64
+        ))
+    }
+
     /// What was learned here.
     pub fn memory(&self) -> Memory {
         self.core.borrow().balancer.memory()
@@ -823,6 +909,12 @@
             Input::Arrived(request, rules, call, owed) => {
                 let (attempts, course) = (Vec::new(), Vec::new());
                 self.stats.asked(rules.names.class_name(request.class));
+                let second = rules_second();
+                if self.asked.0 != second {
+                    let before = if self.asked.0 + 1 == second { self.asked.1[1] } else { 0 };
+                    self.asked = (second, [before, 0]);
+                }
+                self.asked.1[1] += 1;
                 let open = Open {
                     rules,
                     class: request.class,
@@ -848,6 +940,10 @@
                 open.course.push((backend, finish.outcome, elapsed_ms));
                 open.rejected = finish.rejected;
                 self.stats.attempt_ended(backend, finish.outcome);
+                let late = elapsed_ms > open.rules.settings.aim_ms(open.class);
+                if let (Some(zones), Some(target)) = (&mut self.zones, self.listed.get(&backend)) {
+                    zones.seen(target.entry.zone, backend.short(), finish.outcome, late);
+                }
                 if let Some(reply) = finish.reply
                     && let Some(owed) = open.owed.take()
                 {
@@ -873,10 +969,14 @@
                 Event::Started { id, attempt, backend, elapsed_ms }
             }
             Input::Probed(backend, finish, elapsed_ms) => {
+                if let (Some(zones), Some(target)) = (&mut self.zones, self.listed.get(&backend)) {
+                    zones.seen(target.entry.zone, backend.short(), finish.outcome, false);
+                }
                 Event::Probed { backend, outcome: finish.outcome, elapsed_ms, load: finish.load }
             }
             Input::Timer(token) => Event::Timer(token),
             Input::Fleet(news) => Event::Fleet(news),
+            Input::Zones(weights) => Event::Zones(weights),
             Input::Message(from, bytes) => Event::Message { from, bytes },
         })
     }
--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -17,6 +17,7 @@
 const INCARNATION: &str = "incarnation";
 const STARTS: &str = "starts";
 const LIST: &str = "list";
+const ZONE: &str = "zone";
 const LEARNED: &str = "learned";
 /// Key of what there is one of.
 const NODE: &str = "node";
@@ -49,6 +50,8 @@
     pub cordons: Vec<String>,
     /// Clients are to be sent away.
     pub quiesced: bool,
+    /// Zones that are left by an operator's word, and for how long still where that was said.
+    pub zones: Vec<(String, Option<Duration>)>,
     /// The last list, in discovery's form.
     pub list: Option<String>,
     /// What was learned, as the node writes it.
@@ -71,6 +74,16 @@
         // A word holds until it is taken back, however old it is.
         cordons: entries.keys().filter(|(kind, _)| kind == CORDON).map(|(_, uid)| uid.clone()).collect(),
         quiesced: get(QUIESCE, NODE).is_some(),
+        zones: entries
+            .iter()
+            .filter(|((kind, _), _)| kind == ZONE)
+            .filter_map(|((_, zone), e)| {
+                let until = <[u8; 8]>::try_from(e.value.as_slice()).ok().map(u64::from_le_bytes);
+                let left = until.map(|until| Duration::from_millis(until.saturating_sub(now_ms)));
+                // One whose time is over is not left any more.
+                left.is_none_or(|left| !left.is_zero()).then(|| (zone.clone(), left))
+            })
+            .collect(),
         list: text(LIST, LIST_AGE),
         learned: text(LEARNED, LEARNED_AGE).filter(|_| !looping),
     }
@@ -122,7 +135,7 @@
         starts.retain(|at| fresh(*at, now, Duration::from_millis(LOOP_MS)));
         let looping = starts.len() >= LOOP_STARTS;
         starts.push(now);
-        let entries: BTreeMap<_, _> = [CORDON, QUIESCE, LIST, LEARNED]
+        let entries: BTreeMap<_, _> = [CORDON, QUIESCE, ZONE, LIST, LEARNED]
             .into_iter()
             .flat_map(|kind| {
                 store.of_kind(kind).map(move |(key, e)| ((kind.to_owned(), key.to_owned()), e.clone()))
@@ -314,6 +327,18 @@
         self.word(CORDON, uid, out.then(Vec::new)).await
     }
 
+    /// Stores that a zone is left, for how long where that is said, or that it may return.
+    ///
+    /// # Errors
+    /// As above.
+    pub async fn zone(&self, zone: &str, out: bool, left: Option<Duration>) -> Result<(), String> {
+        let until = left.map(|left| {
+            let ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+            wall_ms().saturating_add(ms).to_le_bytes().to_vec()
+        });
+        self.word(ZONE, zone, out.then(|| until.unwrap_or_default())).await
+    }
+
     /// Stores that clients are sent away, or taken again.
     ///
     /// # Errors
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -17,6 +17,7 @@
 mod state;
 mod stats;
 mod upstream;
+mod zoning;
 
 use crate::discovery::Watch;
 use crate::driver::{Driver, Input};
@@ -31,6 +32,7 @@
 use crate::socket::{Descriptors, UNCOUNTED};
 use crate::state::{State, memory_from, memory_text};
 use crate::upstream::Upstream;
+use crate::zoning::Zoning;
 use daleturn::Balancer;
 use daleturn::interface::{Discovery, ListKind};
 use daleturn::options::Options;
@@ -79,6 +81,7 @@
     discovery: watch::Sender<(SocketAddr, Discovery)>,
     log: Rc<Log>,
     sharing: Option<Rc<Sharing>>,
+    zoning: Option<Rc<Zoning>>,
 }
 
 impl Reloading {
@@ -106,6 +109,9 @@
         if let Some(sharing) = &self.sharing {
             sharing.retune(&options.share);
         }
+        if let Some(zoning) = &self.zoning {
+            zoning.retune(&options.topology);
+        }
         let settings = &rules.settings;
         self.driver.retune(&rules);
         self.upstream.retune(settings.connect_timeout_ms, settings.conn_idle_ms);
@@ -229,6 +235,13 @@
         }
         _ => None,
     };
+    let zoning = options.topology.on.then(|| {
+        let (sharing, durable) = (sharing.clone(), durable.clone());
+        Zoning::new(&options.topology, driver.clone(), rules.clone(), sharing, durable)
+    });
+    if let (Some(zoning), Some(sharing)) = (&zoning, &sharing) {
+        sharing.zoning(zoning);
+    }
     let (discovery, address) = watch::channel((config.discovery, settings.discovery));
     let reloading = Reloading {
         rules: rules.clone(),
@@ -238,6 +251,7 @@
         discovery,
         log: log.clone(),
         sharing: sharing.clone(),
+        zoning: zoning.clone(),
     };
     spawn_local(async move {
         let mut running = config.file;
@@ -283,12 +297,16 @@
             log,
             durable: durable.clone(),
             sharing: sharing.clone(),
+            zoning: zoning.clone(),
             name: config.name.clone(),
             started,
             memory: config.memory,
         };
         spawn_local(Rc::new(operator).listen(listener));
     }
+    if let Some(zoning) = zoning {
+        spawn_local(zoning.run(kept.zones.clone()));
+    }
     let handover = Handover::new(
         state,
         driver.clone(),
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -9,6 +9,7 @@
 use crate::sharing::Sharing;
 use crate::socket::Descriptors;
 use crate::upstream::Upstream;
+use crate::zoning::{self, Zoning};
 use daleturn::calls::{Call, CallError, LONGEST};
 use daleturn::control::packet::LONGEST_NAME;
 use serde_json::{Value, json};
@@ -69,6 +70,8 @@
     pub durable: Option<Rc<Durable>>,
     /// What the nodes share, where they do.
     pub sharing: Option<Rc<Sharing>>,
+    /// Zones, where they are judged.
+    pub zoning: Option<Rc<Zoning>>,
     /// The node's name.
     pub name: String,
     /// When the process started.
@@ -142,12 +145,16 @@
         stored.map_err(|why| format!("nothing changed, it cannot be stored: {why}"))
     }
 
+    fn zoning(&self) -> Result<&Zoning, String> {
+        self.zoning.as_deref().ok_or_else(zoning::off)
+    }
+
     /// At this node as any other word, and then at the others.
     fn fleet_word(&self, id: &str, out: bool) -> Result<String, String> {
         let sharing = self.sharing.as_ref().ok_or(UNSHARED)?;
         let said = if out { self.driver.cordon(id) } else { self.driver.uncordon(id) };
         let said = said.map_err(|e| e.to_string())?;
-        sharing.say(id, out)?;
+        sharing.say(id, out, 0)?;
         let others = sharing.alive().saturating_sub(1);
         Ok(format!("{said}, and {others} others hear of it"))
     }
@@ -157,7 +164,9 @@
             // Nothing may hold here that cannot be said to all.
             self.sharing.as_ref().ok_or(UNSHARED)?;
             if id.len() > LONGEST_NAME {
-                return Err(format!("nothing changed: an ID for the fleet has at most {LONGEST_NAME} bytes"));
+                return Err(format!(
+                    "nothing changed: an ID for the fleet has at most {LONGEST_NAME} bytes"
+                ));
             }
         }
         self.store(call).await?;
@@ -169,6 +178,12 @@
                 said + if lasts { "" } else { ", until this process ends" }
             }
             Call::Uncordon(id) => self.driver.uncordon(id).map_err(|e| e.to_string())?,
+            Call::ZoneLeave { zone, for_s, force } => {
+                self.zoning()?.say(zone, true, *for_s, *force).await?
+            }
+            Call::ZoneHold(zone) => self.zoning()?.say(zone, true, None, true).await?,
+            Call::ZoneReturn(zone) => self.zoning()?.say(zone, false, None, true).await?,
+            Call::Zones => return Ok(Zoning::figures(&self.driver, &self.rules)?.to_string()),
             Call::FleetCordon(id) => self.fleet_word(id, true)?,
             Call::FleetUncordon(id) => self.fleet_word(id, false)?,
             Call::Quiesce => self.server.quiesce()?,
@@ -197,6 +212,7 @@
         let state = self.durable.as_ref().map(|d| d.condition());
         json["state"] = json!({"kept": state.is_some(), "incarnation": state.and_then(|s| s.incarnation),
             "failed": state.map(|s| s.failed)});
+        json["topology"] = Zoning::figures(&self.driver, &self.rules).unwrap_or(Value::Null);
         json["share"] = self.sharing.as_ref().map_or(Value::Null, |s| s.json());
         json["peers"] = json!({"sent": sent, "received": received});
         json["log"] = json!({"unwritten": unwritten, "over": over});
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -476,7 +476,7 @@
         } else if matches!(head.method, Method::GET | Method::HEAD) {
             // With a successor, a no would take both processes away from the front.
             let here = matches!(self.mode.get(), Mode::Serving | Mode::Succeeded);
-            let ready = here && self.driver.ready();
+            let ready = here && self.driver.ready() && !self.driver.blind();
             plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
         } else {
             turn_away(&client, arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
--- a/src/node/sharing.rs
+++ b/src/node/sharing.rs
@@ -5,6 +5,7 @@
 use crate::log::say;
 use crate::peers::Peers;
 use crate::rules::Current;
+use crate::zoning::{PREFIX, Zoning};
 use daleturn::control::fleet::{Action, Bounds, Event, Fleet};
 use daleturn::control::members::{Ms, Node, Status};
 use daleturn::control::packet::LONGEST_NAME;
@@ -14,7 +15,7 @@
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How often the machine is asked what is due.
@@ -65,6 +66,7 @@
     here: Cell<bool>,
     verdicts_ms: Cell<u32>,
     affinity_ms: Cell<u32>,
+    zoning: RefCell<Weak<Zoning>>,
 }
 
 fn bounds(share: &Share) -> Bounds {
@@ -100,13 +102,8 @@
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = u32::try_from(wall.as_secs()).unwrap_or(1);
         let fleet = Fleet::new(0, own, count, incarnation, bounds(share), seed);
-        let uses = Uses {
-            limits: Ages::new(),
-            verdicts: Ages::new(),
-            affinity: Ages::new(),
-            looked: 0,
-            alone: 0,
-        };
+        let uses =
+            Uses { limits: Ages::new(), verdicts: Ages::new(), affinity: Ages::new(), looked: 0, alone: 0 };
         let sharing = Rc::new(Sharing {
             fleet: RefCell::new(fleet),
             uses: RefCell::new(uses),
@@ -117,6 +114,7 @@
             here: Cell::new(true),
             verdicts_ms: Cell::new(share.verdicts_ms),
             affinity_ms: Cell::new(share.affinity_ms),
+            zoning: RefCell::new(Weak::new()),
         });
         let own = Rc::downgrade(&sharing);
         driver.share(move |found, start| {
@@ -188,7 +186,9 @@
 
     fn found(&self, found: Found, start: u32) {
         match found {
-            Found::Backend { backend, bad } => self.act(Event::Found { server: backend.short(), start, bad }),
+            Found::Backend { backend, bad } => {
+                self.act(Event::Found { server: backend.short(), start, bad })
+            }
             Found::Key { key, backend } => self.act(Event::Placed { key, server: backend.short() }),
         }
     }
@@ -216,11 +216,39 @@
                         self.driver.take(Input::Fleet(FleetNews::Placed { key, backend, until_ms }));
                     }
                 }
-                Action::Word { server, out } => self.driver.fleet_word(&server, out),
+                Action::Word { about, out, for_s, age } => self.word(&about, out, for_s, age),
             }
         }
     }
 
+    fn word(&self, about: &str, out: bool, for_s: u32, age: Ms) {
+        let Some(zone) = about.strip_prefix(PREFIX) else { return self.driver.fleet_word(about, out) };
+        let all = Duration::from_secs(for_s.into());
+        let left = all.saturating_sub(Duration::from_millis(age));
+        if let Some(zoning) =
+            self.zoning.borrow().upgrade().filter(|_| !out || for_s == 0 || !left.is_zero())
+        {
+            zoning.hear(zone, out, (out && for_s > 0).then_some(left));
+        }
+    }
+
+    /// Words on zones go there.
+    pub fn zoning(&self, zoning: &Rc<Zoning>) {
+        self.zoning.replace(Rc::downgrade(zoning));
+    }
+
+    /// How many other nodes hold a zone for lost.
+    pub fn against(&self, zone: &str) -> usize {
+        let fleet = self.fleet.borrow();
+        let age = Ms::from(self.verdicts_ms.get());
+        fleet.shared().against_by_others(self.now(), short(zone), fleet.members().own(), age)
+    }
+
+    /// This node holds a zone for lost, or not any more.
+    pub fn found_zone(&self, zone: &str, bad: bool) {
+        self.act(Event::Found { server: short(zone), start: 0, bad });
+    }
+
     /// What is asked here for the fleet, and what the fleet's totals make of each tenant's share for the decisions.
     fn tell(&self) {
         let rules = self.rules.get();
@@ -254,11 +282,11 @@
     ///
     /// # Errors
     /// It does not fit a datagram.
-    pub fn say(&self, server: &str, out: bool) -> Result<(), String> {
-        if server.len() > LONGEST_NAME {
-            return Err(format!("an ID for the fleet has at most {LONGEST_NAME} bytes"));
+    pub fn say(&self, about: &str, out: bool, for_s: u32) -> Result<(), String> {
+        if about.len() > LONGEST_NAME {
+            return Err(format!("a name for the fleet has at most {LONGEST_NAME} bytes"));
         }
-        self.act(Event::Said { server, out });
+        self.act(Event::Said { about, out, for_s });
         Ok(())
     }
 
--- a/src/options.rs
+++ b/src/options.rs
@@ -37,6 +37,27 @@
     pub state: State,
     /// What the nodes share.
     pub share: Share,
+    /// Zones and regions.
+    pub topology: Topology,
+}
+
+/// `[topology]`.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Topology {
+    /// Zones are judged as a whole, left and returned to.
+    pub on: bool,
+    /// Weight of zones of other regions beside those of the own one, in percent.
+    #[serde(deserialize_with = "within::<_, 1, 100>")]
+    pub other_region_percent: u32,
+    /// Region of each zone; a zone that is not named is of no region, and far.
+    pub regions: BTreeMap<String, String>,
+}
+
+impl Default for Topology {
+    fn default() -> Topology {
+        Topology { on: false, other_region_percent: 10, regions: BTreeMap::new() }
+    }
 }
 
 /// `[share]`.
@@ -191,7 +212,7 @@
 }
 
 /// Every key that the file may hold.
-pub const KEYS: [Key; 11] = [
+pub const KEYS: [Key; 14] = [
     Key { key: "log.format", unit: "text | json", about: "how a line of the log is written" },
     Key {
         key: "log.level",
@@ -238,7 +259,26 @@
         unit: "milliseconds, 500 to 60000",
         about: "older verdicts on servers are not used",
     },
-    Key { key: "share.affinity_ms", unit: "milliseconds, 500 to 60000", about: "older places of keys are not used" },
+    Key {
+        key: "topology.on",
+        unit: "true | false; taken at a start only",
+        about: "zones are judged as a whole: left when they are lost, returned to along a ramp",
+    },
+    Key {
+        key: "topology.other_region_percent",
+        unit: "percent, 1 to 100",
+        about: "weight of other regions' zones beside the own one's",
+    },
+    Key {
+        key: "topology.regions",
+        unit: "table of names",
+        about: "region of each zone, such as monza-a = \"monza\"",
+    },
+    Key {
+        key: "share.affinity_ms",
+        unit: "milliseconds, 500 to 60000",
+        about: "older places of keys are not used",
+    },
 ];
 
 #[cfg(test)]
@@ -286,7 +326,7 @@
     #[test]
     fn every_key_is_told_to_people_and_no_other() {
         fn walk(at: &str, value: &toml::Value, keys: &mut Vec<String>) {
-            match value.as_table().filter(|_| at != "log.targets") {
+            match value.as_table().filter(|_| !["log.targets", "topology.regions"].contains(&at)) {
                 None => keys.push(at.to_owned()),
                 Some(table) => {
                     for (key, value) in table {
--- a/src/policy/fleet.rs
+++ b/src/policy/fleet.rs
@@ -1,8 +1,9 @@
 //! The list of backends: who is on it, when it is asked for again, and when what drains is let go of.
 
 use super::cap::{Cap, first_cap};
-use super::{ASK, Backend, Balancer};
+use super::{ASK, Balancer};
 use crate::interface::{Action, BackendId, Entry, Health, ListKind};
+use crate::ledger::Backend;
 
 /// Time that discovery, one service for all nodes, is left for each node's call.
 const ASK_SPACING: f64 = 25.0;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,46 +16,22 @@
 mod requests;
 mod shared;
 
-use crate::interface::{
-    Action, BackendId, Discovery, Event, Outcome, RequestId, Settings, SettingsError,
-};
-use crate::ledger::Open;
-use crate::measure::{KeyCounts, Learned, Peak, Pressure};
+use crate::interface::{Action, Discovery, Event, Outcome, RequestId, Settings, SettingsError};
+use crate::ledger::{Backend, Open};
+use crate::measure::{KeyCounts, Learned, Peak};
 use crate::news::News;
 use crate::tally::Tally;
 use admission::Admission;
 pub(crate) use cap::Cap;
 use near::Nearness;
 use pick::Place;
-use record::Record;
+pub(crate) use record::Record;
 use shared::Shared;
 use std::collections::HashMap;
 
 const TICK: u64 = 1;
 const ASK: u64 = 2;
 
-/// One backend as this node knows it.
-#[derive(Debug, Default)]
-pub(crate) struct Backend {
-    pub(crate) id: BackendId,
-    pub(crate) zone: u16,
-    cell: u32,
-    units: f64,
-    /// Listed and up; sends elsewhere are against the drain rule.
-    pub(crate) up: bool,
-    /// Until when idle connections are closed again at each tick: one whose handshake was under way at the
-    /// notice, or at the last outcome, turns idle later. 0 where nothing is to be closed.
-    close_until: f64,
-    pub(crate) in_flight: u32,
-    /// Start of its cold time, by the list or by its silence.
-    pub(crate) cold_since: f64,
-    /// Work that the cold budget allowed at the last tick, less what was sent since, in mean requests.
-    cold_tokens: f64,
-    pub(crate) record: Record,
-    pub(crate) cap: Cap,
-    pub(crate) load: Pressure,
-}
-
 /// The decisions of one node. Feed it events, carry out its actions.
 ///
 /// See the crate's page for an example.
@@ -69,6 +45,8 @@
     pub(crate) learned: Vec<Learned>,
     keys: KeyCounts,
     near: Nearness,
+    /// Part of its usual weight that each zone has.
+    zones: Vec<f64>,
     shared: Shared,
     pub(crate) admission: Admission,
     pub(crate) tally: Tally,
@@ -102,6 +80,7 @@
             learned: Vec::new(),
             keys: KeyCounts::new(),
             near: Nearness::default(),
+            zones: Vec::new(),
             shared: Shared::default(),
             admission: Admission { level: 1.0, room: 1.0, retry: 3.0, spill: 3.0, ..Admission::default() },
             tally: Tally::default(),
@@ -143,6 +122,7 @@
                     self.trial_over(now, i, if live { News::Live } else { News::TrialFailed }, out);
                 }
             }
+            Event::Zones(weights) => self.on_zones(now, weights, out),
             Event::Fleet(news) => self.on_fleet(now, news, out),
             Event::Message { bytes, .. } => self.on_news(now, &bytes, out),
             Event::Started { id, attempt, elapsed_ms, .. } => self.on_started(now, id, attempt, elapsed_ms),
--- a/src/policy/near.rs
+++ b/src/policy/near.rs
@@ -4,6 +4,7 @@
 
 use super::Balancer;
 use super::admission::TARGET_STRAIN;
+use crate::interface::{Action, Effect};
 use crate::measure::Evidence;
 
 /// The least weight: enough to see now and then how the others fare.
@@ -49,7 +50,35 @@
     }
 }
 
+/// A zone of less than this part of its weight is left: only what may be repeated tries it.
+const LEFT: f64 = 0.02;
+
 impl Balancer {
+    /// Takes new weights of zones. What is under way in one that is left goes elsewhere, if it may run twice.
+    pub(super) fn on_zones(&mut self, now: f64, weights: Vec<f64>, out: &mut Vec<Action>) {
+        self.zones = weights;
+        self.place(now);
+        let first = out.len();
+        for (id, open) in self.open.iter().filter(|o| self.s.may_cancel && !o.1.finished) {
+            let safe = self.s.effect(open.request.class) == Effect::Safe;
+            for (n, _) in
+                open.attempts.iter().enumerate().filter(|(_, a)| safe && a.out && self.left(a.zone))
+            {
+                out.push(Action::Cancel { id: *id, attempt: n as u32 });
+            }
+        }
+        // A map has no order that another process would find again.
+        out[first..].sort_by_key(|a| if let Action::Cancel { id, .. } = a { id.0 } else { 0 });
+    }
+
+    pub(super) fn zone_weight(&self, zone: u16) -> f64 {
+        self.zones.get(usize::from(zone)).copied().unwrap_or(1.0)
+    }
+
+    pub(super) fn left(&self, zone: u16) -> bool {
+        self.zone_weight(zone) < LEFT
+    }
+
     /// Whether a send to this zone crosses, where that has a price.
     pub(super) fn far(&self, zone: u16) -> bool {
         self.s.prices.cross_zone > 0.0 && self.s.zone.is_some_and(|own| own != zone)
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -1,7 +1,8 @@
 //! Picking: two candidates by the request's key, the freer of them, and the spill where both are blocked.
 
-use super::{Backend, Balancer, cold, gates};
+use super::{Balancer, cold, gates};
 use crate::interface::{Found, RequestId};
+use crate::ledger::Backend;
 use crate::ledger::Open;
 use crate::measure::mix;
 
@@ -24,7 +25,8 @@
     /// Rebuilds the table that keyed candidates are looked up in.
     pub(super) fn place(&mut self, now: f64) {
         let near = |b: &Backend| if self.far(b.zone) { self.near.weight } else { 1.0 };
-        let ramp = |b: &Backend| cold::ramp(&self.s, now - b.cold_since) * near(b);
+        let ramp =
+            |b: &Backend| cold::ramp(&self.s, now - b.cold_since) * near(b) * self.zone_weight(b.zone);
         self.places = (self.backends.iter().enumerate())
             .filter(|(_, b)| b.up)
             .map(|(index, b)| Place { salt: mix(b.id.0), per_weight: 1.0 / (b.units * ramp(b)), index })
@@ -82,7 +84,8 @@
         let mut spill: Option<(u32, f64, usize)> = None;
         for p in &self.places {
             let n = self.backends[p.index].in_flight;
-            if spill.is_some_and(|s| n > s.0) || !usable(p.index) {
+            let left = self.left(self.backends[p.index].zone);
+            if left || spill.is_some_and(|s| n > s.0) || !usable(p.index) {
                 continue;
             }
             let r = rank(p);
@@ -115,12 +118,10 @@
     /// Neither congested, nor capped, nor out of cold budget, nor tried before by this request.
     pub(super) fn usable(&self, now: f64, open: &Open, index: usize) -> bool {
         let b = &self.backends[index];
-        let trial = || {
-            !self.s.probes
-                && b.record.trial_due(now)
-                && gates::repeats(self.s.classes.get(open.request.class))
-        };
+        let repeats = || gates::repeats(self.s.classes.get(open.request.class));
+        let trial = || !self.s.probes && b.record.trial_due(now) && repeats();
         (!b.record.congested || trial())
+            && (!self.left(b.zone) || repeats())
             && !b.cap.blocks(now, b.in_flight)
             && !open.attempts.iter().any(|a| a.backend == b.id)
             && self.may_send(now, open, index)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -125,6 +125,16 @@
         self.classes.get(number)?.as_deref()
     }
 
+    /// How many zones have names.
+    pub fn zones(&self) -> usize {
+        self.zones.len()
+    }
+
+    /// Number of a zone.
+    pub fn zone_number(&self, name: &str) -> Option<u16> {
+        self.zones.iter().position(|n| n == name).and_then(|n| u16::try_from(n).ok())
+    }
+
     /// Name of a tenant; none for a number that new requests are not given.
     pub fn tenant_name(&self, number: usize) -> Option<&str> {
         self.tenants.get(number)?.as_deref()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -97,7 +97,7 @@
                 Action::Verdict { server, who, bad, .. } => {
                     self.verdicts[n].entry((server, who, bad)).or_insert(self.now);
                 }
-                Action::Word { server, out } => drop(self.words[n].insert(server, out)),
+                Action::Word { about, out, .. } => drop(self.words[n].insert(about, out)),
                 Action::Place { .. } => {}
             }
         }
@@ -145,9 +145,9 @@
     /// What each node knows of who is there is true.
     fn true_to_life(&self) -> bool {
         let there = |n: usize| self.nodes[n].is_some();
-        (0..self.nodes.len()).filter(|at| there(*at)).all(|at| {
-            (0..self.nodes.len()).all(|of| self.status(of, at).present() == there(of))
-        })
+        (0..self.nodes.len())
+            .filter(|at| there(*at))
+            .all(|at| (0..self.nodes.len()).all(|of| self.status(of, at).present() == there(of)))
     }
 }
 
@@ -209,7 +209,11 @@
         let ages = spread(limit_ages(&mut world, 30_000));
         let (sent, received) = (world.sent, world.received);
         let a_second = |n: u64| n as f64 / 30.0 / 300.0;
-        println!("loss {loss}: limits {ages:?}, sent {:.2}, received {:.2}", a_second(sent), a_second(received));
+        println!(
+            "loss {loss}: limits {ages:?}, sent {:.2}, received {:.2}",
+            a_second(sent),
+            a_second(received)
+        );
         let heard = spread(verdict_ages(&mut world, 10, 3000));
         let more = (world.sent - sent) as f64 / 36.0 / 300.0;
         println!("loss {loss}: verdicts {heard:?}, sent {more:.2} with one every 3 s");
@@ -230,7 +234,9 @@
         assert!(world.true_to_life());
         (0..count).for_each(|n| world.side[n] = u8::from(n % 4 >= 2));
         let cut = world.now;
-        while !(0..count).all(|at| (0..count).all(|of| world.status(of, at).present() == (world.side[of] == world.side[at]))) {
+        while !(0..count).all(|at| {
+            (0..count).all(|of| world.status(of, at).present() == (world.side[of] == world.side[at]))
+        }) {
             world.quiet(100);
             assert!(world.now < cut + 15_000, "{count}: the other side is still taken to be there");
         }
@@ -295,7 +301,8 @@
         let count = 40;
         let mut world = World::new(count, 9, Net { loss: 0.05, ..CALM });
         // From the nodes of one zone, or of all: three times its share.
-        let asked: Vec<f64> = (0..count).map(|n| if n % 4 < flood { 300.0 / (10 * flood) as f64 } else { 0.5 }).collect();
+        let asked: Vec<f64> =
+            (0..count).map(|n| if n % 4 < flood { 300.0 / (10 * flood) as f64 } else { 0.5 }).collect();
         let quota = 100.0;
         let tell = |w: &mut World, n: usize| {
             let rate = asked[n] as f32;
@@ -326,14 +333,14 @@
     let mut world = World::new(30, 4, Net { loss: 0.1, ..CALM });
     world.quiet(4000);
     world.nodes[20] = None;
-    world.act(7, Event::Said { server: "s-1", out: true });
+    world.act(7, Event::Said { about: "s-1", out: true, for_s: 0 });
     world.quiet(3000);
     let knows = |w: &World, n: usize| w.words[n].get("s-1").copied();
     assert!((0..30).filter(|n| *n != 7 && *n != 20).all(|n| knows(&world, n) == Some(true)));
     world.start(20);
     world.quiet(6000);
     assert_eq!(knows(&world, 20), Some(true), "by comparison");
-    world.act(20, Event::Said { server: "s-1", out: false });
+    world.act(20, Event::Said { about: "s-1", out: false, for_s: 0 });
     world.quiet(3000);
     assert!((0..30).filter(|n| *n != 20).all(|n| knows(&world, n) == Some(false)));
 }
@@ -396,7 +403,7 @@
                 0 => world.nodes[n] = None,
                 1 => world.start(n),
                 2 => world.side[n] ^= 1,
-                _ => world.act(n, Event::Said { server: "s-9", out: ms % 2 == 0 }),
+                _ => world.act(n, Event::Said { about: "s-9", out: ms % 2 == 0, for_s: 0 }),
             }
             world.quiet(ms);
         }
