--- /dev/null
+++ b/crates/release/src/run.rs
@@ -0,0 +1,1 @@
+//! placeholder
