--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -52,6 +52,13 @@
         #[arg(long)]
         fleet: bool,
     },
+    /// Of a supervisor: bring its node to that version, beside the one that serves
+    Upgrade {
+        /// Its name in the supervisor's file
+        version: String,
+    },
+    /// Of a supervisor: which versions there are, and which one serves
+    Versions,
     /// Leave a zone, keep it out, or let it return
     #[command(subcommand)]
     Zone(Zone),
@@ -108,6 +115,8 @@
         What::Zone(Zone::Hold { zone }) => Call::ZoneHold(zone.clone()),
         What::Zone(Zone::Return { zone }) => Call::ZoneReturn(zone.clone()),
         What::Zones => Call::Zones,
+        What::Upgrade { version } => Call::Upgrade(version.clone()),
+        What::Versions => Call::Versions,
         What::Quiesce => Call::Quiesce,
         What::Resume => Call::Resume,
         What::Stats { .. } => Call::Stats,
--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -71,6 +71,14 @@
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=100))]
         pairs: u64,
     },
+    /// Hands one line to the lab's warden and takes its yes; a release's commands do that
+    #[command(hide = true)]
+    Poke {
+        /// The warden
+        address: std::net::SocketAddr,
+        /// What to say
+        words: Vec<String>,
+    },
     /// Plays a day with a key of its scenario set to each of some values
     #[command(after_help = "Example:\n  daleturn lab sweep scenarios/brianza-day.toml --set \
                             load.of_capacity=0.5,0.7,0.9 --seeds 3")]
@@ -190,8 +198,22 @@
     })
 }
 
+fn poke(address: std::net::SocketAddr, words: &[String]) -> Result<ExitCode, Failure> {
+    use std::io::{Read, Write};
+    let asked = std::net::TcpStream::connect(address).and_then(|mut s| {
+        s.write_all(format!("{}\n", words.join(" ")).as_bytes())?;
+        let mut said = String::new();
+        s.read_to_string(&mut said)?;
+        Ok(said)
+    });
+    let said = asked.map_err(|e| format!("{address}: {e}"))?;
+    print(&said)?;
+    Ok(if said.starts_with("OK") { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 pub fn run(command: &Command) -> Result<ExitCode, Failure> {
     match command {
+        Command::Poke { address, words } => poke(*address, words),
         Command::Run { day, json, report: folder, logs, baseline } => {
             let scenario = match scenario(&day.file) {
                 Ok(scenario) => scenario,
@@ -281,6 +303,13 @@
     let rows: Vec<Vec<String>> =
         figures(o).into_iter().map(|(name, value)| vec![name.to_owned(), format!("{value:.3}")]).collect();
     let mut out = table(&["figure", "value"], rows);
+    if let Some(r) = &o.figures.release {
+        let _ = writeln!(
+            out,
+            "release {}: {}, {} on the new version, {} restarts",
+            r.stands, r.why, r.on_new, r.restarts
+        );
+    }
     for (name, ms) in &o.figures.recover_ms {
         let back = ms.map_or_else(|| "never".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
         // Writing to a String cannot fail.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod lab;
 mod page;
+mod release;
 mod state;
 
 use clap::{CommandFactory, Parser, Subcommand};
@@ -44,6 +45,16 @@
         /// Which
         name: String,
     },
+    /// Carries out a staged release of servers, with a halt and a way back
+    #[command(subcommand)]
+    Release(release::Command),
+    /// Keeps a machine's node running, and brings it from one version to another
+    #[command(after_help = "Example:\n  daleturn supervise /etc/daleturn/supervisor.toml")]
+    Supervise {
+        /// The supervisor's file: versions, addresses, limits
+        #[arg(value_name = "FILE")]
+        file: std::path::PathBuf,
+    },
     /// Looks at a node's state directory, also while the node has it
     #[command(subcommand)]
     State(state::Command),
@@ -61,6 +72,8 @@
         Command::Config(command) => config::run(&command).map(|()| ExitCode::SUCCESS),
         Command::Demo { node } => lab::demo(node.as_deref()),
         Command::Lab(command) => lab::run(&command),
+        Command::Supervise { file } => release::supervise(&file),
+        Command::Release(command) => release::run(&command),
         Command::State(command) => state::run(&command).map(|()| ExitCode::SUCCESS),
         Command::Baseline { name } => lab::baseline(&name),
         Command::Completions { shell } => {
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -179,6 +179,7 @@
     crossed: u64,
     wasted: u64,
     keys: [u64; 2],
+    release: Option<Release>,
     probes: u64,
     handshakes: u64,
     datagrams: u64,
@@ -221,6 +222,7 @@
             crossed: 0,
             wasted: 0,
             keys: [0; 2],
+            release: None,
             probes: 0,
             handshakes: 0,
             datagrams: 0,
@@ -515,6 +517,11 @@
         self.keys = [met, known];
     }
 
+    /// How the day's release stands at its end.
+    pub fn release(&mut self, release: Option<Release>) {
+        self.release = release;
+    }
+
     /// Refused, failed, and attempts at each server, so far: what a live view needs, without the rest.
     pub fn counts(&self) -> (u64, u64, Vec<u64>) {
         (self.refused, self.failed, self.servers.clone())
@@ -608,6 +615,7 @@
             crossings,
             wasted: self.wasted,
             known_keys: per(self.keys[1], self.keys[0]),
+            release: self.release.clone(),
             probes: self.probes,
             handshakes: self.handshakes,
             datagrams: self.datagrams,
@@ -637,6 +645,19 @@
     }
 }
 
+/// How a release stands.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Release {
+    /// `done`, `back`, `halted`, `abandoned`, `running`.
+    pub stands: String,
+    /// Why.
+    pub why: String,
+    /// Servers on the new version, as the lab knows them.
+    pub on_new: usize,
+    /// Restarts that its commands asked for.
+    pub restarts: usize,
+}
+
 /// What came of a day.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figures {
@@ -674,6 +695,8 @@
     pub wasted: u64,
     /// Part of the requests whose key its server knew.
     pub known_keys: f64,
+    /// How the day's release stands at its end.
+    pub release: Option<Release>,
     /// Probes of servers.
     pub probes: u64,
     /// Connections opened to servers.
@@ -758,6 +781,18 @@
                 broken.push(format!("{name} {value:.3}, at most {wanted} was expected"));
             }
         }
+        let (stands, on_new, restarts) =
+            self.release.as_ref().map_or(("none", 0, 0), |r| (&r.stands, r.on_new, r.restarts));
+        let why = self.release.as_ref().map_or("", |r| &r.why);
+        if let Some(wanted) = expect.release.as_ref().filter(|w| *w != stands) {
+            broken.push(format!("the release is {stands} ({why}), {wanted} was expected"));
+        }
+        if let Some(wanted) = expect.on_new.filter(|w| *w != on_new) {
+            broken.push(format!("{on_new} servers are on the new version, {wanted} were expected"));
+        }
+        if let Some(wanted) = expect.restarts.filter(|w| restarts > *w) {
+            broken.push(format!("{restarts} restarts, at most {wanted} were expected"));
+        }
         if let Some(wanted) = expect.recover_s {
             for (name, back) in &self.recover_ms {
                 match back {
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -6,6 +6,7 @@
 mod links;
 mod nodes;
 mod peers;
+mod releases;
 mod servers;
 mod timer;
 
@@ -17,6 +18,7 @@
 use links::{Link, Passing, lock};
 use nodes::{Node, Nodes};
 use peers::Peers;
+use releases::Releases;
 use serde::Serialize;
 use servers::Host;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -145,6 +147,7 @@
     hosts: Vec<Arc<Host>>,
     discovery: OnceLock<Arc<Discovery>>,
     peers: OnceLock<Arc<Peers>>,
+    releases: Releases,
     /// The nodes.
     pub nodes: Nodes,
     /// The clients.
@@ -310,6 +313,7 @@
         discovery: OnceLock::new(),
         peers: OnceLock::new(),
         clients: Clients::new(scenario.fleet.zones.len(), nodes.len()),
+        releases: Releases::new(scratch.0.join("releases"), command()),
         nodes,
         node_args: options.node_args.clone(),
         sent: Mutex::default(),
@@ -361,6 +365,14 @@
             lock(&world.judge).breach(Rule::Crash, now, why);
         }
     }
+    world.releases.kill().await;
+    let release = world.releases.outcome().map(|(stands, why, on_new)| crate::judge::Release {
+        stands,
+        why,
+        on_new,
+        restarts: world.releases.restarts().len(),
+    });
+    lock(&world.judge).release(release);
     let (mut met, mut knew) = (0, 0);
     for host in &world.hosts {
         host.model(|m| (met, knew) = (met + m.met, knew + m.knew));
@@ -395,6 +407,7 @@
     *world.begin.write().unwrap_or_else(std::sync::PoisonError::into_inner) = Instant::now();
     let troubles =
         Arc::new(Troubles { world: world.clone(), active: Mutex::default(), next: options.next.clone() });
+    world.releases.open(&troubles).await?;
     for fault in world.plan.faults.clone() {
         tokio::spawn(troubles.clone().meet(fault));
     }
@@ -492,14 +505,18 @@
             let here = || faults.iter().filter(|f| f.on.servers.contains(&n));
             let is = |kind: Kind| here().any(|f| f.kind == kind);
             let most = |kind: Kind| here().filter(|f| f.kind == kind).map(|f| f.size).fold(0.0, f64::max);
+            let r = &world.plan.scenario.release;
+            let bad = world.releases.on_new(n)
+                && (0..world.hosts.len()).filter(|s| world.releases.on_new(*s)).count() >= r.bad_from;
+            let (slower, errors) = if bad { (r.slower, r.errors) } else { (1.0, 0.0) };
             host.model(|m| {
-                m.pace = 1.0 / most(Kind::ServerSlow).max(1.0);
+                m.pace = 1.0 / most(Kind::ServerSlow).max(1.0).max(slower);
                 m.taken = most(Kind::ServerNeighbour).clamp(0.0, 0.99);
                 m.pause_ms = most(Kind::ServerPauses).clamp(0.0, 990.0);
             });
             host.wrong(|w| {
                 w.silent = is(Kind::ServerSilent);
-                w.errors = most(Kind::ServerErrors);
+                w.errors = most(Kind::ServerErrors).max(errors);
                 w.resets = most(Kind::ServerResets);
                 w.full = is(Kind::ServerFull);
                 w.report_late_ms = most(Kind::ServerReportsLate) * 1000.0;
@@ -637,6 +654,24 @@
                 lock(&world.judge).breach(Rule::Crash, now, why);
             }
         }
+        let release = match fault.kind {
+            Kind::Release => world.releases.start(world).map_err(|e| e.to_string()),
+            Kind::ReleaseKill => {
+                world.releases.kill().await;
+                Ok(())
+            }
+            Kind::ReleaseFreeze => {
+                world.releases.freeze(true);
+                Ok(())
+            }
+            Kind::ReleaseOrder => world.releases.order(&fault.say).await,
+            Kind::ReleaseSecond => world.releases.second(world).await,
+            _ => Ok(()),
+        };
+        if let Err(why) = release {
+            let now = world.now();
+            lock(&world.judge).breach(Rule::Crash, now, why);
+        }
         if fault.kind == Kind::DiscoveryMove {
             let Some(discovery) = world.discovery() else { return };
             if discovery.open(world).is_ok() {
@@ -684,6 +719,16 @@
 
     async fn end(&self, fault: &Fault) {
         let world = &self.world;
+        match fault.kind {
+            Kind::ReleaseKill => {
+                if let Err(e) = world.releases.start(world) {
+                    let now = world.now();
+                    lock(&world.judge).breach(Rule::Crash, now, format!("the next controller: {e}"));
+                }
+            }
+            Kind::ReleaseFreeze => world.releases.freeze(false),
+            _ => {}
+        }
         for &s in &fault.on.servers {
             let Some(host) = world.host(s) else { continue };
             match fault.kind {
@@ -729,6 +774,10 @@
             | Kind::NodeReload
             | Kind::NodeCall
             | Kind::DiscoveryMove
+            | Kind::Release
+            | Kind::ReleaseKill
+            | Kind::ReleaseOrder
+            | Kind::ReleaseSecond
     )
 }
 
@@ -770,6 +819,12 @@
     Ok(done)
 }
 
+/// The operators' command: this program, or the one that lies beside it.
+fn command() -> Option<PathBuf> {
+    let own = std::env::current_exe().ok()?;
+    if own.file_name().is_some_and(|n| n == "daleturn") { Some(own) } else { beside(&own, "daleturn") }
+}
+
 /// The node's program that lies beside this one's, or a folder above, as the build leaves them.
 pub fn beside(own: &Path, name: &str) -> Option<PathBuf> {
     own.ancestors().skip(1).take(3).map(|dir| dir.join(name)).find(|p| p.is_file())
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -36,6 +36,8 @@
     pub net: Net,
     /// What nodes may do, and the operators' rules.
     pub rules: Rules,
+    /// The release of a new version of the servers, begun by the trouble `release`.
+    pub release: Release,
     /// What goes wrong.
     pub trouble: Vec<Trouble>,
     /// What the day must bring.
@@ -310,6 +312,58 @@
     }
 }
 
+/// `[release]`.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Release {
+    /// Servers on the new version after each stage.
+    pub stages: Vec<usize>,
+    /// Servers out at once.
+    pub out: usize,
+    /// And in one zone.
+    pub out_per_zone: usize,
+    /// Servers that must be in, in percent.
+    pub in_percent: u32,
+    /// Time to warm, in seconds.
+    pub warm_s: u64,
+    /// Time to watch after each stage, in seconds.
+    pub watch_s: u64,
+    /// Requests that the gate wants of each group.
+    pub least: u64,
+    /// What a breach leads to: `halt` or `back`.
+    pub breach: String,
+    /// Time that a restart takes, in seconds.
+    pub restart_s: f64,
+    /// Part of the requests that the new version answers with an error.
+    pub errors: f64,
+    /// How many times slower it is.
+    pub slower: f64,
+    /// It is bad only once so many servers have it.
+    pub bad_from: usize,
+    /// Servers that do not start with it.
+    pub broken: Vec<String>,
+}
+
+impl Default for Release {
+    fn default() -> Release {
+        Release {
+            stages: vec![1, 4, 12],
+            out: 1,
+            out_per_zone: 1,
+            in_percent: 75,
+            warm_s: 1,
+            watch_s: 4,
+            least: 100,
+            breach: "halt".to_owned(),
+            restart_s: 0.5,
+            errors: 0.0,
+            slower: 1.0,
+            bad_from: 0,
+            broken: Vec::new(),
+        }
+    }
+}
+
 /// `[rules]`.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -426,6 +480,16 @@
     NodeReload,
     /// Nodes: an operator says `say`.
     NodeCall,
+    /// A release of the servers begins, as `[release]` says.
+    Release,
+    /// Its controller is killed; the next one starts after `for_s`.
+    ReleaseKill,
+    /// Its controller stands still for `for_s`.
+    ReleaseFreeze,
+    /// A person orders it to `say`: `halt`, `resume`, `back`, `abandon`.
+    ReleaseOrder,
+    /// A second release is begun, which must be turned down.
+    ReleaseSecond,
     /// Discovery: refuses calls with 503.
     DiscoveryDown,
     /// Discovery: answers nothing.
@@ -462,6 +526,12 @@
     pub crossings: Option<f64>,
     /// Most seconds until service is back after each trouble's end.
     pub recover_s: Option<f64>,
+    /// How the release ends: `done`, `back`, `halted`, `abandoned`.
+    pub release: Option<String>,
+    /// Servers on the new version at the end.
+    pub on_new: Option<usize>,
+    /// Most restarts of servers by the release.
+    pub restarts: Option<usize>,
     /// Rules that may be broken on this day, with a reason: for baselines.
     pub allow: Vec<String>,
     /// Lateness of the lab itself, at the 99th percentile, from which the day does not count, in milliseconds.
--- a/crates/release/src/gate.rs
+++ b/crates/release/src/gate.rs
@@ -9,6 +9,9 @@
 const EARLY: f64 = 4.5;
 const LAST: f64 = 3.5;
 
+/// Failures without which a few dozen attempts say nothing.
+const FAILED: u64 = 8;
+
 /// What a group of members has done within a time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
@@ -71,12 +74,18 @@
 pub fn look(new: &Sample, rest: &Sample, gate: &Gate, last: bool) -> Shows {
     let sure = if last { LAST } else { EARLY };
     let (n, m) = (new.all(), rest.all());
-    if n >= 100.0 && m >= 100.0 {
+    // A member that fails is sent less: a few dozen attempts must do, if enough of them failed.
+    let enough = n >= 100.0 || (n >= 40.0 && new.failed >= FAILED);
+    if enough && m >= 100.0 {
         let (p, q) = (new.failed as f64 / n, rest.failed as f64 / m);
         let pooled = (new.failed + rest.failed) as f64 / (n + m);
         let error = (pooled * (1.0 - pooled) * (1.0 / n + 1.0 / m)).sqrt();
         if p - q > gate.errors_percent / 100.0 && p - q > sure * error {
-            return Shows::Worse(format!("{:.2} % of {n:.0} fail, {:.2} % of the rest's {m:.0}", 100.0 * p, 100.0 * q));
+            return Shows::Worse(format!(
+                "{:.2} % of {n:.0} fail, {:.2} % of the rest's {m:.0}",
+                100.0 * p,
+                100.0 * q
+            ));
         }
         let ((a, va), (b, vb)) = (new.mean(), rest.mean());
         if a - b > b * gate.slower_percent / 100.0 && a - b > sure * (va + vb).sqrt() {
--- a/crates/release/src/lib.rs
+++ b/crates/release/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod machine;
 pub mod plan;
 pub mod run;
+pub mod supervise;
--- a/crates/release/src/machine.rs
+++ b/crates/release/src/machine.rs
@@ -16,8 +16,6 @@
 const AGAIN_MS: Ms = 2000;
 /// A member is idle when it was seen so at least this long after its last cordon.
 const SETTLE_MS: Ms = 700;
-/// After a start of the controller, a restart that may have been made is looked for during this time.
-const LOOK_MS: Ms = 5000;
 
 /// Which of the two versions a member has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -213,7 +211,8 @@
             watched: None,
         });
         let member = |id: &str| {
-            let known = stored.get(&format!("member {id}")).and_then(|text| serde_json::from_str(text).ok());
+            let known =
+                stored.get(&format!("member {id}")).and_then(|text| serde_json::from_str(text).ok());
             known.unwrap_or(Member {
                 phase: Phase::In,
                 version: Version::Old,
@@ -231,6 +230,11 @@
         Machine { plan, head, members, started: now, overtaken: false }
     }
 
+    /// One with these parts, as a checker of all its states needs it.
+    pub fn with(plan: Arc<Plan>, head: Head, members: Vec<Member>, started: Ms) -> Machine {
+        Machine { plan, head, members, started, overtaken: false }
+    }
+
     /// Takes one event at the time `now` and adds what is to be done to `out`.
     pub fn handle(&mut self, now: Ms, event: Event, out: &mut Vec<Action>) {
         if self.overtaken {
@@ -258,7 +262,9 @@
     }
 
     fn turn(&mut self, now: Ms, member: usize, phase: Phase, why: &str, out: &mut Vec<Action>) {
-        let (Some(m), Some(named)) = (self.members.get_mut(member), self.plan.member.get(member)) else { return };
+        let (Some(m), Some(named)) = (self.members.get_mut(member), self.plan.member.get(member)) else {
+            return;
+        };
         (m.phase, m.since, m.why) = (phase, now, why.to_owned());
         (m.told, m.running) = (0, false);
         m.said.clear();
@@ -275,7 +281,10 @@
         let text = serde_json::to_string(&head).unwrap_or_default();
         out.push(Action::Store(HEAD.to_owned(), text));
         let way = if head.back { "back" } else { "there" };
-        out.push(Action::Audit(format!("release {:?} on the way {way}, stage {}: {}", head.mode, head.stage, head.why)));
+        out.push(Action::Audit(format!(
+            "release {:?} on the way {way}, stage {}: {}",
+            head.mode, head.stage, head.why
+        )));
         self.head = head;
     }
 
@@ -324,7 +333,7 @@
     }
 
     fn tell(&mut self, now: Ms, member: usize, out_of_service: bool, out: &mut Vec<Action>) {
-        let nodes = self.plan.nodes.len();
+        let nodes = self.plan.told();
         let Some(m) = self.members.get_mut(member) else { return };
         if m.told == 0 || now >= m.told + AGAIN_MS {
             m.told = now.max(1);
@@ -335,7 +344,7 @@
     }
 
     fn step(&mut self, now: Ms, member: usize, out: &mut Vec<Action>) {
-        let (nodes, times) = (self.plan.nodes.len(), self.plan.times.clone());
+        let (nodes, times) = (self.plan.told(), self.plan.times.clone());
         let m = &self.members[member];
         let (waited, since) = (now.saturating_sub(m.since), m.since);
         let all_said = m.said.len() >= nodes;
@@ -344,9 +353,15 @@
             Phase::Cordoning if all_said => self.turn(now, member, Phase::Draining, "", out),
             Phase::Cordoning if waited > times.cordon_s * 1000 => {
                 // Who has not said yes may still send: no restart is safe.
-                let silent: Vec<String> =
-                    (0..nodes).filter(|n| !m.said.contains(n)).map(|n| self.plan.nodes[n].to_string()).collect();
-                let why = format!("{} did not take the cordon of {}", silent.join(", "), self.plan.member[member].id);
+                let silent: Vec<String> = (0..nodes)
+                    .filter(|n| !m.said.contains(n))
+                    .map(|n| self.plan.nodes[n].to_string())
+                    .collect();
+                let why = format!(
+                    "{} did not take the cordon of {}",
+                    silent.join(", "),
+                    self.plan.member[member].id
+                );
                 self.turn(now, member, Phase::Uncordoning, &why, out);
                 self.halt(why, out);
             }
@@ -366,7 +381,8 @@
                 let made = m.seen.is_some_and(|(_, s)| s.start > m.start);
                 if made {
                     self.ran(now, member, None, out);
-                } else if now > self.started + LOOK_MS {
+                } else if now > self.started + 1000 * self.command_s(member) {
+                    // Nor can the command that died with it, or outlived it, be running any more.
                     self.run(member, out);
                 }
             }
@@ -395,6 +411,12 @@
         }
     }
 
+    /// The longest that the member's command may take.
+    fn command_s(&self, member: usize) -> u64 {
+        let new = self.members[member].version == Version::Old;
+        if new { self.plan.restart.limit() } else { self.plan.back.limit() }
+    }
+
     fn run(&mut self, member: usize, out: &mut Vec<Action>) {
         // What it has decides where it goes: a plan that turned meanwhile waits for its next turn.
         let to = if self.members[member].version == Version::Old { Version::New } else { Version::Old };
@@ -485,7 +507,11 @@
             return;
         }
         if self.head.back {
-            let head = Head { mode: Mode::Over, why: format!("back on {}: {}", self.plan.from, self.head.why), ..self.head.clone() };
+            let head = Head {
+                mode: Mode::Over,
+                why: format!("back on {}: {}", self.plan.from, self.head.why),
+                ..self.head.clone()
+            };
             return self.set(head, out);
         }
         if self.head.watched.is_none() {
@@ -500,7 +526,10 @@
     }
 
     fn pass(&mut self, now: Ms, out: &mut Vec<Action>) {
-        let Some(from) = self.head.watched.filter(|from| now >= from + self.plan.times.watch_s * 1000) else { return };
+        let Some(from) = self.head.watched.filter(|from| now >= from + self.plan.times.watch_s * 1000)
+        else {
+            return;
+        };
         let _ = from;
         let stage = self.head.stage + 1;
         let head = if stage >= self.plan.stage.len() {
@@ -512,7 +541,10 @@
     }
 
     fn compared(&mut self, now: Ms, new: &Sample, rest: &Sample, out: &mut Vec<Action>) {
-        let Some(from) = self.head.watched.filter(|_| self.head.mode == Mode::Running && !self.head.back) else { return };
+        let Some(from) = self.head.watched.filter(|_| self.head.mode == Mode::Running && !self.head.back)
+        else {
+            return;
+        };
         let waited = now.saturating_sub(from);
         match look(new, rest, &self.plan.gate, waited >= self.plan.times.watch_s * 1000) {
             Shows::Worse(why) => self.breach(why, out),
@@ -530,10 +562,25 @@
         }
         let head = match order {
             Order::Halt if self.head.mode != Mode::Running => return,
-            Order::Halt => Head { mode: Mode::Halted, why: "a person said so".to_owned(), watched: None, ..self.head.clone() },
-            Order::Resume => Head { mode: Mode::Running, why: "a person let it go on".to_owned(), ..self.head.clone() },
-            Order::Back => Head { mode: Mode::Running, back: true, watched: None, why: "a person said so".to_owned(), ..self.head.clone() },
-            Order::Abandon => Head { mode: Mode::Ending, why: "abandoned".to_owned(), watched: None, ..self.head.clone() },
+            Order::Halt => Head {
+                mode: Mode::Halted,
+                why: "a person said so".to_owned(),
+                watched: None,
+                ..self.head.clone()
+            },
+            Order::Resume => {
+                Head { mode: Mode::Running, why: "a person let it go on".to_owned(), ..self.head.clone() }
+            }
+            Order::Back => Head {
+                mode: Mode::Running,
+                back: true,
+                watched: None,
+                why: "a person said so".to_owned(),
+                ..self.head.clone()
+            },
+            Order::Abandon => {
+                Head { mode: Mode::Ending, why: "abandoned".to_owned(), watched: None, ..self.head.clone() }
+            }
         };
         self.set(head, out);
         if matches!(order, Order::Resume | Order::Back) {
@@ -727,8 +774,17 @@
             let mut f = Fleet::new(plan(3, Breach::Halt));
             f.until(second, |_| false);
             f.die();
-            assert!(f.until(900, Fleet::over), "died at {second}: {:?} {:?}", f.machine.head, f.machine.members);
-            assert_eq!((f.on.clone(), f.runs, f.most_out), (vec![Version::New; 3], 3, 1), "died at {second}");
+            assert!(
+                f.until(900, Fleet::over),
+                "died at {second}: {:?} {:?}",
+                f.machine.head,
+                f.machine.members
+            );
+            assert_eq!(
+                (f.on.clone(), f.runs, f.most_out),
+                (vec![Version::New; 3], 3, 1),
+                "died at {second}"
+            );
             assert!(f.cordoned.iter().all(BTreeSet::is_empty));
         }
     }
@@ -739,7 +795,11 @@
         f.deaf = Some(1);
         assert!(f.until(60, |f| f.machine.head.mode == Mode::Halted));
         assert_eq!(f.runs, 0);
-        assert!(f.machine.head.why.contains("127.0.0.1:2 did not take the cordon of s-0"), "{}", f.machine.head.why);
+        assert!(
+            f.machine.head.why.contains("127.0.0.1:2 did not take the cordon of s-0"),
+            "{}",
+            f.machine.head.why
+        );
         assert!(!f.machine.named().is_empty(), "it is named until every node has it back");
         f.deaf = None;
         f.until(60, |_| false);
@@ -783,7 +843,10 @@
         let mut f = Fleet::new(plan(4, Breach::Halt));
         // Both of zone b but one: an operator's.
         f.cordoned[1].extend([0, 1]);
-        assert!(!f.until(200, |f| f.machine.members[3].phase != Phase::In), "it would be the last of its zone");
+        assert!(
+            !f.until(200, |f| f.machine.members[3].phase != Phase::In),
+            "it would be the last of its zone"
+        );
         assert!(f.runs <= 2 && f.cordoned[1].len() == 2);
         f.cordoned[1].clear();
         assert!(f.until(600, Fleet::over));
--- a/crates/release/src/plan.rs
+++ b/crates/release/src/plan.rs
@@ -20,7 +20,9 @@
     pub from: String,
     /// The version that is to come.
     pub to: String,
-    /// Operators' addresses of all nodes.
+    /// What gets the new version.
+    pub what: What,
+    /// Operators' addresses of all nodes; of a release of nodes, their supervisors' addresses, one for each member.
     pub nodes: Vec<SocketAddr>,
     /// Who gets it, in the order of the stages.
     pub member: Vec<Member>,
@@ -40,6 +42,17 @@
     pub verify: Command,
 }
 
+/// What is released.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// Servers, which the nodes are told of.
+    #[default]
+    Servers,
+    /// The program itself, by the supervisor on each machine.
+    Nodes,
+}
+
 /// `[[member]]`: a server.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -144,6 +157,11 @@
 }
 
 impl Command {
+    /// Seconds until it is ended.
+    pub fn limit(&self) -> u64 {
+        if self.limit_s == 0 { 60 } else { self.limit_s }
+    }
+
     /// The words with a member's names put in.
     pub fn words(&self, member: &Member, version: &str) -> Vec<String> {
         let put = |w: &String| {
@@ -171,12 +189,17 @@
         plan.check().map(|()| plan).map_err(|(key, reason)| {
             let word = key.rsplit('.').next().unwrap_or(key);
             let at = text.lines().position(|l| l.trim_start().trim_start_matches('[').starts_with(word));
-            TomlError::Content { line: at.map_or(1, |n| n + 1), key: key.to_owned(), reason: reason.to_owned() }
+            TomlError::Content {
+                line: at.map_or(1, |n| n + 1),
+                key: key.to_owned(),
+                reason: reason.to_owned(),
+            }
         })
     }
 
     fn check(&self) -> Result<(), (&'static str, &'static str)> {
-        let word = |w: &str| !w.is_empty() && w.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+        let word =
+            |w: &str| !w.is_empty() && w.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
         let wrong = |key, reason| Err((key, reason));
         if !word(&self.name) {
             return wrong("name", "must be a word of letters, digits, dashes and points");
@@ -201,7 +224,11 @@
         if self.limits.out == 0 || self.limits.out_per_zone == 0 || self.limits.in_percent > 100 {
             return wrong("limits", "out and out_per_zone must be at least 1, in_percent at most 100");
         }
-        if self.restart.run.is_empty() || self.back.run.is_empty() {
+        if self.what == What::Nodes && self.nodes.len() != self.member.len() {
+            return wrong("nodes", "a release of nodes has a supervisor for each member, in their order");
+        }
+        let servers = self.what == What::Servers;
+        if servers && (self.restart.run.is_empty() || self.back.run.is_empty()) {
             return wrong(
                 if self.restart.run.is_empty() { "restart" } else { "back" },
                 "there must be a program to run: the way there, and the way back",
@@ -214,6 +241,11 @@
         Ok(())
     }
 
+    /// Nodes that must be told of a member's leave.
+    pub fn told(&self) -> usize {
+        if self.what == What::Nodes { 0 } else { self.nodes.len() }
+    }
+
     /// What must be known of it to be the same plan after a restart of the controller.
     pub fn digest(&self) -> u64 {
         // A plan is plain data.
@@ -238,10 +270,16 @@
     #[test]
     fn what_is_wrong_is_told_with_line_and_key() {
         let why = |from: &str, to: &str| Plan::parse(&PLAN.replace(from, to)).unwrap_err().to_string();
-        assert_eq!(why("to = \"2\"", "to = \"1\""), "line 3: to: there must be a version to come, another than from");
+        assert_eq!(
+            why("to = \"2\"", "to = \"1\""),
+            "line 3: to: there must be a version to come, another than from"
+        );
         assert!(why("run = [\"b\"]", "").contains("back: there must be a program"));
         assert!(why("members = 1", "members = 0").contains("stage: stages must rise"));
-        assert!(why("id = \"s-0\"", "id = \"s-0\"\n[[member]]\nid = \"s-0\"").contains("member: there must be one"));
+        assert!(
+            why("id = \"s-0\"", "id = \"s-0\"\n[[member]]\nid = \"s-0\"")
+                .contains("member: there must be one")
+        );
         assert!(why("name = \"r\"", "nmae = \"r\"").starts_with("line 1: nmae: unknown field"));
         assert!(why("nodes = [\"127.0.0.1:1\"]", "nodes = [\"x\"]").starts_with("line 4: nodes"));
     }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -12,6 +12,9 @@
 /// A longer answer is none of a node's.
 const LONGEST_ANSWER: u64 = 8 * 1024 * 1024;
 
+/// Holder of a lease that is given up.
+pub const NOBODY: &str = "-";
+
 /// What an operator wants.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
@@ -25,6 +28,26 @@
     FleetCordon(String),
     /// See above.
     FleetUncordon(String),
+    /// The same of a controller that holds the lease of that number.
+    Leased {
+        /// Out; else back.
+        out: bool,
+        /// The backend.
+        id: String,
+        /// The number.
+        lease: u64,
+    },
+    /// A controller takes the lease, renews it, or gives it up.
+    Lease {
+        /// Its name; [`NOBODY`] gives it up.
+        holder: String,
+        /// Its number: the greater one holds.
+        number: u64,
+    },
+    /// Of a supervisor: bring the node to that version.
+    Upgrade(String),
+    /// Of a supervisor: which versions there are.
+    Versions,
     /// Leave a zone, whatever its health, for so many seconds or until it may return; `force`: also where the rest is
     /// not known to carry what is asked.
     ZoneLeave {
@@ -75,6 +98,9 @@
     /// What follows `zone` is none of its forms.
     #[error("zone takes leave NAME [--for TIME] [--force], hold NAME, or return NAME")]
     Zone,
+    /// What follows `lease` is no name and number.
+    #[error("{0} takes a number above 0")]
+    Number(&'static str),
     /// Not a time.
     #[error("{0:?} is no time such as 90s, 30m or 2h, of a day at most")]
     Time(String),
@@ -99,6 +125,18 @@
             return Call::zone(&words.collect::<Vec<_>>());
         }
         let mut id = words.next();
+        if call == "lease" {
+            let number = words.next().and_then(|n| n.parse().ok()).filter(|n| *n > 0);
+            let (Some(holder), Some(number), None) = (id, number, words.next()) else {
+                return Err(CallError::Number("lease NAME"));
+            };
+            return Ok(Call::Lease { holder: holder.to_owned(), number });
+        }
+        let rest: Vec<&str> = words.clone().collect();
+        if let (Some(id), ["--lease", number], "cordon" | "uncordon") = (id, &rest[..], call) {
+            let lease = number.parse().map_err(|_| CallError::Number("--lease"))?;
+            return Ok(Call::Leased { out: call == "cordon", id: id.to_owned(), lease });
+        }
         let fleet = id == Some("--fleet") && matches!(call, "cordon" | "uncordon");
         if fleet {
             id = words.next();
@@ -113,6 +151,8 @@
             "quiesce" => alone("quiesce", Call::Quiesce),
             "resume" => alone("resume", Call::Resume),
             "zones" => alone("zones", Call::Zones),
+            "upgrade" => with_id("upgrade").map(Call::Upgrade),
+            "versions" => alone("versions", Call::Versions),
             "stats" => alone("stats", Call::Stats),
             _ => Err(CallError::Unknown),
         }
@@ -159,6 +199,12 @@
             Call::Uncordon(id) => write!(f, "uncordon {id}"),
             Call::FleetCordon(id) => write!(f, "cordon --fleet {id}"),
             Call::FleetUncordon(id) => write!(f, "uncordon --fleet {id}"),
+            Call::Leased { out, id, lease } => {
+                write!(f, "{} {id} --lease {lease}", if *out { "cordon" } else { "uncordon" })
+            }
+            Call::Upgrade(version) => write!(f, "upgrade {version}"),
+            Call::Versions => f.write_str("versions"),
+            Call::Lease { holder, number } => write!(f, "lease {holder} {number}"),
             Call::ZoneLeave { zone, for_s, force } => {
                 write!(f, "zone leave {zone}")?;
                 if let Some(for_s) = for_s {
@@ -244,6 +290,11 @@
             Call::ZoneHold(id()),
             Call::ZoneReturn(id()),
             Call::Zones,
+            Call::Leased { out: true, id: id(), lease: 7 },
+            Call::Leased { out: false, id: id(), lease: 7 },
+            Call::Lease { holder: id(), number: 7 },
+            Call::Upgrade(id()),
+            Call::Versions,
             Call::Quiesce,
             Call::Resume,
             Call::Stats,
@@ -274,6 +325,9 @@
         ] {
             assert_eq!(why(line), CallError::Zone, "{line:?}");
         }
+        assert_eq!(why(b"lease a"), CallError::Number("lease NAME"));
+        assert_eq!(why(b"lease a 0"), CallError::Number("lease NAME"));
+        assert_eq!(why(b"cordon a --lease x"), CallError::Number("--lease"));
         assert_eq!(why(b"zone leave a --for 9"), CallError::Time("9".to_owned()));
         assert_eq!(why(b"zone leave a --for 25h"), CallError::Time("25h".to_owned()));
         assert_eq!(Call::parse(b"zone leave a --for 30m"), Call::parse(b"zone leave a --for 1800s"));
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -259,6 +259,15 @@
     }
 }
 
+/// Health in discovery's words.
+fn health_word(health: Health) -> &'static str {
+    match health {
+        Health::Up => "up",
+        Health::Draining => "draining",
+        Health::Gone => "removed",
+    }
+}
+
 /// The second of the system's monotonic clock.
 fn rules_second() -> u64 {
     static FIRST: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
@@ -422,6 +431,7 @@
         let mut backends = Vec::with_capacity(names.len());
         for (uid, id) in names {
             let (sent, done, failed) = core.stats.of_backend(id);
+            let (ms, ms_squared) = core.stats.times_of(id);
             let (listed, b) = (core.listed.get(&id), known.get(&id));
             let state = match listed.map(|l| l.entry.health) {
                 _ if core.cordoned.contains_key(&id) => "cordoned",
@@ -450,7 +460,9 @@
                 "id": uid, "zone": zone, "state": state, "verdict": if congested { "congested" } else { "live" },
                 "trial_in_ms": trial_in_ms, "cap": b.map(|b| hundredths(b.cap)), "in_flight": in_flight,
                 "cold": cold, "pressure": b.map(|b| hundredths(b.pressure)), "sent": sent, "done": done,
-                "failed": failed,
+                "failed": failed, "ms_sum": hundredths(ms), "ms_squared_sum": hundredths(ms_squared),
+                "listed": listed.map(|l| health_word(l.entry.health)),
+                "start_ms": listed.map(|l| l.entry.ready_at_ms.max(0.0).round() as u64),
             }));
         }
         let own_zone = rules.settings.zone.map(zone_name);
@@ -657,16 +669,11 @@
     /// The list that is known, in discovery's form.
     pub fn list_text(&self, rules: &Rules) -> String {
         let core = self.core.borrow();
-        let state = |health| match health {
-            Health::Up => "up",
-            Health::Draining => "draining",
-            Health::Gone => "removed",
-        };
         let targets: Vec<Value> = (core.listed.values())
             .map(|t| {
                 let (e, endpoint) = (&t.entry, t.address.map(|a| a.to_string()));
                 json!({"uid": &*t.uid, "endpoint": endpoint, "az": rules.names.zone_name(e.zone),
-                       "pod_group": e.cell, "state": state(e.health), "capacity_hint": e.units,
+                       "pod_group": e.cell, "state": health_word(e.health), "capacity_hint": e.units,
                        "boot_ms": e.ready_at_ms})
             })
             .collect();
@@ -939,7 +946,7 @@
                 open.attempts.get_mut(attempt as usize)?.take()?;
                 open.course.push((backend, finish.outcome, elapsed_ms));
                 open.rejected = finish.rejected;
-                self.stats.attempt_ended(backend, finish.outcome);
+                self.stats.attempt_ended(backend, finish.outcome, elapsed_ms);
                 let late = elapsed_ms > open.rules.settings.aim_ms(open.class);
                 if let (Some(zones), Some(target)) = (&mut self.zones, self.listed.get(&backend)) {
                     zones.seen(target.entry.zone, backend.short(), finish.outcome, late);
--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -18,6 +18,7 @@
 const STARTS: &str = "starts";
 const LIST: &str = "list";
 const ZONE: &str = "zone";
+const LEASE: &str = "lease";
 const LEARNED: &str = "learned";
 /// Key of what there is one of.
 const NODE: &str = "node";
@@ -52,6 +53,8 @@
     pub quiesced: bool,
     /// Zones that are left by an operator's word, and for how long still where that was said.
     pub zones: Vec<(String, Option<Duration>)>,
+    /// The lease of a release, by holder and number.
+    pub lease: Option<String>,
     /// The last list, in discovery's form.
     pub list: Option<String>,
     /// What was learned, as the node writes it.
@@ -74,6 +77,7 @@
         // A word holds until it is taken back, however old it is.
         cordons: entries.keys().filter(|(kind, _)| kind == CORDON).map(|(_, uid)| uid.clone()).collect(),
         quiesced: get(QUIESCE, NODE).is_some(),
+        lease: get(LEASE, NODE).and_then(|e| String::from_utf8(e.value.clone()).ok()),
         zones: entries
             .iter()
             .filter(|((kind, _), _)| kind == ZONE)
@@ -135,7 +139,7 @@
         starts.retain(|at| fresh(*at, now, Duration::from_millis(LOOP_MS)));
         let looping = starts.len() >= LOOP_STARTS;
         starts.push(now);
-        let entries: BTreeMap<_, _> = [CORDON, QUIESCE, ZONE, LIST, LEARNED]
+        let entries: BTreeMap<_, _> = [CORDON, QUIESCE, ZONE, LEASE, LIST, LEARNED]
             .into_iter()
             .flat_map(|kind| {
                 store.of_kind(kind).map(move |(key, e)| ((kind.to_owned(), key.to_owned()), e.clone()))
@@ -339,6 +343,14 @@
         self.word(ZONE, zone, out.then(|| until.unwrap_or_default())).await
     }
 
+    /// Stores who may release.
+    ///
+    /// # Errors
+    /// As above.
+    pub async fn lease(&self, holder: &str) -> Result<(), String> {
+        self.word(LEASE, NODE, Some(holder.as_bytes().to_vec())).await
+    }
+
     /// Stores that clients are sent away, or taken again.
     ///
     /// # Errors
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -24,7 +24,7 @@
 use crate::durable::{Durable, Kept};
 use crate::handover::Handover;
 use crate::log::{Log, say};
-use crate::operator::Operator;
+use crate::operator::{Lease, Operator};
 use crate::peers::Peers;
 use crate::rules::Current;
 use crate::server::Server;
@@ -298,8 +298,10 @@
             durable: durable.clone(),
             sharing: sharing.clone(),
             zoning: zoning.clone(),
+            lease: Lease::stored(kept.lease.as_deref()).into(),
             name: config.name.clone(),
             started,
+            started_ms: driver.clock.now_ms() as u64,
             memory: config.memory,
         };
         spawn_local(Rc::new(operator).listen(listener));
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -10,10 +10,11 @@
 use crate::socket::Descriptors;
 use crate::upstream::Upstream;
 use crate::zoning::{self, Zoning};
-use daleturn::calls::{Call, CallError, LONGEST};
+use daleturn::calls::{Call, CallError, LONGEST, NOBODY};
 use daleturn::control::packet::LONGEST_NAME;
 use serde_json::{Value, json};
-use std::collections::VecDeque;
+use std::cell::RefCell;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -28,6 +29,8 @@
 const CALL_TIME: Duration = Duration::from_secs(3);
 /// Time for the answer to be taken, and for the caller to close.
 const FAREWELL: Duration = Duration::from_millis(500);
+/// A lease that was not renewed for so many seconds may be taken by another release.
+const LEASE_S: u64 = 20;
 /// Why a word for the whole fleet is turned down.
 const UNSHARED: &str = "nothing changed: this node shares nothing ([share] is off); say it to each node";
 /// Reads one line, LF or CRLF at its end.
@@ -50,6 +53,51 @@
     }
 }
 
+/// The lease of a release: one controller at a time may take backends out, the one with the greatest number.
+#[derive(Debug, Default)]
+pub struct Lease {
+    holder: String,
+    number: u64,
+    renewed: Option<Instant>,
+    /// Backends that an operator has taken out by himself since this start: no controller puts them back.
+    operators: BTreeSet<String>,
+}
+
+impl Lease {
+    /// The one that was stored.
+    pub fn stored(text: Option<&str>) -> Lease {
+        let (holder, number) = text.and_then(|t| t.split_once(' ')).unwrap_or_default();
+        let number = number.parse().unwrap_or(0);
+        Lease { holder: holder.to_owned(), number, renewed: None, operators: BTreeSet::new() }
+    }
+
+    fn age_s(&self) -> Option<u64> {
+        self.renewed.map(|at| at.elapsed().as_secs())
+    }
+
+    /// Whether a controller may take or renew it.
+    fn check(&self, holder: &str, number: u64) -> Result<(), String> {
+        if holder == NOBODY && number == self.number {
+            return Ok(());
+        }
+        let lower = number < self.number || (number == self.number && holder != self.holder);
+        let free = self.holder.is_empty() || self.holder == NOBODY || holder == self.holder;
+        let held = !free && self.age_s().is_some_and(|s| s < LEASE_S);
+        if lower || held {
+            return Err(format!("the lease is held by {} with {}", self.holder, self.number));
+        }
+        Ok(())
+    }
+
+    /// Whether a word under that number counts.
+    fn counts(&self, number: u64) -> Result<(), String> {
+        if number < self.number {
+            return Err(format!("the lease is held by {} with {}", self.holder, self.number));
+        }
+        Ok(())
+    }
+}
+
 /// Answers operators.
 pub struct Operator {
     /// Where backends are taken out.
@@ -68,6 +116,8 @@
     pub log: Rc<Log>,
     /// What survives the machine, where there is a place for it.
     pub durable: Option<Rc<Durable>>,
+    /// Who may take backends out for a release.
+    pub lease: RefCell<Lease>,
     /// What the nodes share, where they do.
     pub sharing: Option<Rc<Sharing>>,
     /// Zones, where they are judged.
@@ -76,6 +126,8 @@
     pub name: String,
     /// When the process started.
     pub started: Instant,
+    /// The same in milliseconds since 1970.
+    pub started_ms: u64,
     /// Bytes of memory that it may use.
     pub memory: usize,
 }
@@ -133,9 +185,18 @@
     async fn store(&self, call: &Call) -> Result<(), String> {
         let Some(durable) = &self.durable else { return Ok(()) };
         let stored = match call {
-            Call::Cordon(id) | Call::Uncordon(id) | Call::FleetCordon(id) | Call::FleetUncordon(id) => {
+            Call::Cordon(id)
+            | Call::Uncordon(id)
+            | Call::FleetCordon(id)
+            | Call::FleetUncordon(id)
+            | Call::Leased { id, .. } => {
                 self.driver.check(id).map_err(|e| e.to_string())?;
-                durable.cordon(id, matches!(call, Call::Cordon(_) | Call::FleetCordon(_))).await
+                let out =
+                    matches!(call, Call::Cordon(_) | Call::FleetCordon(_) | Call::Leased { out: true, .. });
+                durable.cordon(id, out).await
+            }
+            Call::Lease { holder, number } if *number > self.lease.borrow().number => {
+                durable.lease(&format!("{holder} {number}")).await
             }
             Call::Quiesce | Call::Resume if self.server.health().is_ok() => {
                 durable.quiesce(matches!(call, Call::Quiesce)).await
@@ -169,15 +230,43 @@
                 ));
             }
         }
+        match call {
+            Call::Lease { holder, number } => self.lease.borrow().check(holder, *number)?,
+            Call::Leased { lease, .. } => self.lease.borrow().counts(*lease)?,
+            _ => {}
+        }
+        if let Call::Leased { out: false, id, .. } = call
+            && self.lease.borrow().operators.contains(id)
+        {
+            return Ok(format!("{id} stays out, as an operator said"));
+        }
         self.store(call).await?;
         let said = match call {
             Call::Health => return self.health(),
+            Call::Upgrade(_) | Call::Versions => {
+                return Err("a node has no versions: call its supervisor".to_owned());
+            }
+            Call::Lease { holder, number } => {
+                let mut lease = self.lease.borrow_mut();
+                (lease.holder, lease.number) = (holder.clone(), *number);
+                let before = lease.renewed.replace(Instant::now());
+                if before.is_some() {
+                    return Ok("the lease is renewed".to_owned());
+                }
+                "the lease is taken".to_owned()
+            }
+            Call::Leased { out: true, id, .. } => self.driver.cordon(id).map_err(|e| e.to_string())?,
+            Call::Leased { id, .. } => self.driver.uncordon(id).map_err(|e| e.to_string())?,
             Call::Cordon(id) => {
+                self.lease.borrow_mut().operators.insert(id.clone());
                 let said = self.driver.cordon(id).map_err(|e| e.to_string())?;
                 let lasts = self.durable.is_some() || self.driver.lasts();
                 said + if lasts { "" } else { ", until this process ends" }
             }
-            Call::Uncordon(id) => self.driver.uncordon(id).map_err(|e| e.to_string())?,
+            Call::Uncordon(id) => {
+                self.lease.borrow_mut().operators.remove(id);
+                self.driver.uncordon(id).map_err(|e| e.to_string())?
+            }
             Call::ZoneLeave { zone, for_s, force } => {
                 self.zoning()?.say(zone, true, *for_s, *force).await?
             }
@@ -203,6 +292,7 @@
         json["name"] = self.name.as_str().into();
         json["version"] = env!("CARGO_PKG_VERSION").into();
         json["pid"] = std::process::id().into();
+        json["started_ms"] = self.started_ms.into();
         json["uptime_s"] = self.started.elapsed().as_secs().into();
         json["mode"] = self.server.mode().into();
         json["settings"] = json!({"taken": rules.taken, "digest": format!("{:016x}", rules.digest)});
@@ -212,6 +302,8 @@
         let state = self.durable.as_ref().map(|d| d.condition());
         json["state"] = json!({"kept": state.is_some(), "incarnation": state.and_then(|s| s.incarnation),
             "failed": state.map(|s| s.failed)});
+        let lease = self.lease.borrow();
+        json["lease"] = json!({"holder": lease.holder, "number": lease.number, "age_s": lease.age_s()});
         json["topology"] = Zoning::figures(&self.driver, &self.rules).unwrap_or(Value::Null);
         json["share"] = self.sharing.as_ref().map_or(Value::Null, |s| s.json());
         json["peers"] = json!({"sent": sent, "received": received});
@@ -234,3 +326,26 @@
     let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
     line.trim().trim_end_matches("kB").trim().parse().ok()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn of_two_controllers_the_greater_number_holds_and_a_name_until_it_is_old() {
+        let mut lease = Lease::stored(Some("first 4"));
+        assert!(lease.check("first", 4).is_ok() && lease.check("first", 3).is_err());
+        assert!(lease.check("other", 4).is_err());
+        assert!(lease.check("other", 5).is_ok(), "nobody has renewed it since this start");
+        lease.renewed = Some(Instant::now());
+        assert!(lease.check("other", 5).is_err(), "the first one is there");
+        assert!(lease.check("first", 5).is_ok(), "its next controller");
+        // One that stood still and wakes has the lower number.
+        lease.number = 5;
+        assert!(lease.counts(4).is_err() && lease.counts(5).is_ok() && lease.counts(6).is_ok());
+        assert!(lease.check(NOBODY, 4).is_err() && lease.check(NOBODY, 5).is_ok());
+        lease.holder = NOBODY.to_owned();
+        assert!(lease.check("other", 6).is_ok(), "it was given up");
+        assert_eq!(Lease::stored(None).number, 0);
+    }
+}
--- a/src/node/stats.rs
+++ b/src/node/stats.rs
@@ -98,6 +98,9 @@
     sent: u64,
     done: u64,
     failed: u64,
+    /// Sums of the answers' times, in milliseconds, and of their squares.
+    ms: f64,
+    ms_squared: f64,
 }
 
 /// The figures.
@@ -216,13 +219,19 @@
     }
 
     /// An attempt ended.
-    pub fn attempt_ended(&mut self, backend: BackendId, outcome: Outcome) {
+    pub fn attempt_ended(&mut self, backend: BackendId, outcome: Outcome, elapsed_ms: f64) {
         if let Some(count) = self.attempts.get_mut(outcome as usize) {
             *count += 1;
         }
         if let Some(sent) = self.backends.get_mut(&backend) {
             match outcome {
-                Outcome::Done => sent.done += 1,
+                Outcome::Done => {
+                    sent.done += 1;
+                    if elapsed_ms.is_finite() {
+                        sent.ms += elapsed_ms;
+                        sent.ms_squared += elapsed_ms * elapsed_ms;
+                    }
+                }
                 Outcome::Cancelled | Outcome::Skipped | Outcome::Rejected => {}
                 _ => sent.failed += 1,
             }
@@ -236,10 +245,16 @@
 
     /// Attempts at a backend: sent, done and failed.
     pub fn of_backend(&self, backend: BackendId) -> (u64, u64, u64) {
-        let Sent { sent, done, failed } = self.backends.get(&backend).copied().unwrap_or_default();
+        let Sent { sent, done, failed, .. } = self.backends.get(&backend).copied().unwrap_or_default();
         (sent, done, failed)
     }
 
+    /// Sums of a backend's answer times in milliseconds, and of their squares.
+    pub fn times_of(&self, backend: BackendId) -> (f64, f64) {
+        let sent = self.backends.get(&backend).copied().unwrap_or_default();
+        (sent.ms, sent.ms_squared)
+    }
+
     /// Refused before the decisions heard of them.
     pub fn away(&self) -> u64 {
         self.turned_away
@@ -311,13 +326,13 @@
         let (a, b) = (BackendId(1), BackendId(2));
         stats.sent(a);
         stats.sent(b);
-        stats.attempt_ended(a, Outcome::Done);
-        stats.attempt_ended(b, Outcome::Reset);
+        stats.attempt_ended(a, Outcome::Done, 5.0);
+        stats.attempt_ended(b, Outcome::Reset, 5.0);
         assert_eq!((stats.of_backend(a), stats.of_backend(b)), ((1, 1, 0), (1, 0, 1)));
         stats.keep(|id| id == a);
         assert_eq!(stats.of_backend(b), (0, 0, 0));
         // One that ends later brings it back no more.
-        stats.attempt_ended(b, Outcome::Done);
+        stats.attempt_ended(b, Outcome::Done, 5.0);
         assert_eq!(stats.backends.len(), 1);
     }
 }
