--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -3,10 +3,12 @@
 use crate::page::{Failure, print, table};
 use clap::Subcommand;
 use daleturn_lab::baseline::{Pick, serve};
+use daleturn_lab::hunt::hunt;
 use daleturn_lab::plan::Plan;
 use daleturn_lab::real::{Moment, Options, Outcome, PlayError, beside, block_on, play};
 use daleturn_lab::report;
 use daleturn_lab::scenario::Scenario;
+use daleturn_lab::sim::simulate;
 use daleturn_lab::stats::{mean, paired};
 use std::fmt::Write;
 use std::io::IsTerminal;
@@ -71,6 +73,45 @@
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=100))]
         pairs: u64,
     },
+    /// Plays a day in virtual time: the real decisions of every node over modelled servers, clients and network
+    #[command(
+        after_help = "Example:\n  daleturn lab sim scenarios/zone-lost.toml --seed 7\n\nOne seed, one course of events. \
+                            Troubles that need real processes are refused."
+    )]
+    Sim {
+        /// The scenario
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// The seed, in place of the scenario's own
+        #[arg(long)]
+        seed: Option<u64>,
+        /// How many seeds, one after another
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        seeds: u64,
+        /// Write the last outcome as JSON into this file
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// Draws schedules of faults over a scenario, plays them in virtual time, and writes down what breaks, shrunk
+    #[command(
+        after_help = "Example:\n  daleturn lab hunt scenarios/brianza-day.toml --for 10m --out found\n\nExit codes: 0 \
+                            nothing found, 1 something, 2 no scenario."
+    )]
+    Hunt {
+        /// The scenario that the schedules are drawn over
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// How long
+        #[arg(long = "for", value_name = "TIME", default_value = "1m",
+              value_parser = |t: &str| daleturn::calls::Call::time(t).map_err(|e| e.to_string()))]
+        for_s: u32,
+        /// Seed of the schedules
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where to write the days that break
+        #[arg(long, value_name = "DIR", default_value = "found")]
+        out: PathBuf,
+    },
     /// Hands one line to the lab's warden and takes its yes; a release's commands do that
     #[command(hide = true)]
     Poke {
@@ -198,6 +239,107 @@
     })
 }
 
+fn hunt_for(file: &Path, for_s: u32, seed: u64, out: &Path) -> Result<ExitCode, Failure> {
+    let base = match scenario(file) {
+        Ok(scenario) => scenario,
+        Err(code) => return Ok(code),
+    };
+    let end = std::time::Instant::now() + std::time::Duration::from_secs(for_s.into());
+    let next = std::sync::atomic::AtomicU64::new(0);
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let found = std::thread::scope(|scope| {
+        let work = || {
+            let mut found = Vec::new();
+            while std::time::Instant::now() < end {
+                let n = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                match hunt(&base, seed, n) {
+                    Ok(one) => found.extend(one),
+                    Err(e) => return Err(e.to_string()),
+                }
+            }
+            Ok(found)
+        };
+        let hands: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
+        let all =
+            hands.into_iter().map(|h| h.join().map_err(|_| "a day could not be played".to_owned())?);
+        all.collect::<Result<Vec<_>, String>>()
+    });
+    let found: Vec<_> = found?.into_iter().flatten().collect();
+    for one in &found {
+        std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+        let path = out.join(format!("{}.toml", one.scenario.name));
+        let text = toml::to_string(&one.scenario).map_err(|e| e.to_string())?;
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let (before, after) = one.troubles;
+        print(&format!("{}: {} ({before} troubles, {after} matter)\n", path.display(), one.why))?;
+    }
+    let played = next.into_inner();
+    print(&format!("hunt: {} seed {seed}: {played} schedules, {} found\n", base.name, found.len()))?;
+    Ok(if found.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn sim(file: &Path, seed: Option<u64>, seeds: u64, json: Option<&Path>) -> Result<ExitCode, Failure> {
+    let scenario = match scenario(file) {
+        Ok(scenario) => scenario,
+        Err(code) => return Ok(code),
+    };
+    let mut kept = true;
+    let mut worths = Vec::new();
+    for n in 0..seeds {
+        let begun = std::time::Instant::now();
+        let outcome = match simulate(&scenario, seed.unwrap_or(scenario.seed) + n) {
+            Ok(outcome) => outcome,
+            Err(e) => {
+                eprintln!("daleturn: {}: {e}", file.display());
+                return Ok(ExitCode::from(2));
+            }
+        };
+        let f = &outcome.figures;
+        kept &= outcome.verdict == daleturn_lab::judge::Verdict::Kept;
+        worths.push(f.worth);
+        if n + 1 == seeds {
+            let took = begun.elapsed().as_secs_f64();
+            let rows = [
+                ("worth", f.worth),
+                ("worth less crossings", f.worth_less_crossings),
+                ("worst 5 s", f.worst_5s),
+                ("worst class", f.worst_class),
+                ("worst tenant", f.worst_tenant),
+                ("tries", f.tries),
+                ("refused", f.refused as f64),
+                ("failed", f.failed as f64),
+                ("attempts", f.attempts),
+                ("wasted", f.wasted as f64),
+                ("known keys", f.known_keys),
+                ("crossings", f.crossings),
+                ("probes", f.probes as f64),
+                ("datagrams", f.datagrams as f64),
+                ("answer p50 ms", f.answer_ms[0]),
+                ("answer p99 ms", f.answer_ms[2]),
+                ("events", outcome.events as f64),
+                ("seconds it took", took),
+            ];
+            let rows = rows.iter().map(|(n, v)| vec![(*n).to_owned(), format!("{v:.3}")]).collect();
+            print(&table(&["figure", "value"], rows))?;
+            for (name, ms) in &f.recover_ms {
+                let back = ms.map_or_else(|| "never".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
+                print(&format!("back after {name}: {back}\n"))?;
+            }
+            print(&format!("course {:016x}\n", outcome.course))?;
+            if let Some(path) = json {
+                let text = serde_json::to_string(&outcome).map_err(|e| e.to_string())?;
+                std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            }
+        }
+        print(&format!("{}\n", outcome.line()))?;
+    }
+    if seeds > 1 {
+        let m = mean(&worths);
+        print(&format!("worth {:.4} +- {:.4} over {seeds} seeds\n", m.mean, m.half))?;
+    }
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn poke(address: std::net::SocketAddr, words: &[String]) -> Result<ExitCode, Failure> {
     use std::io::{Read, Write};
     let asked = std::net::TcpStream::connect(address).and_then(|mut s| {
@@ -214,6 +356,8 @@
 pub fn run(command: &Command) -> Result<ExitCode, Failure> {
     match command {
         Command::Poke { address, words } => poke(*address, words),
+        Command::Hunt { file, for_s, seed, out } => hunt_for(file, *for_s, *seed, out),
+        Command::Sim { file, seed, seeds, json } => sim(file, *seed, *seeds, json.as_deref()),
         Command::Run { day, json, report: folder, logs, baseline } => {
             let scenario = match scenario(&day.file) {
                 Ok(scenario) => scenario,
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -110,6 +110,8 @@
     deadline: f64,
     from: f64,
     sent: Vec<Sent>,
+    /// An attempt left its node and never arrived, as far as the lab can see that.
+    vain: bool,
     answered: bool,
 }
 
@@ -301,6 +303,7 @@
             deadline,
             from: now,
             sent: Vec::new(),
+            vain: false,
             answered: false,
         };
         self.tries.insert(id, state);
@@ -397,7 +400,7 @@
     pub fn answered(&mut self, now: f64, id: u64, answer: Answer) {
         let Some(t) = self.tries.get_mut(&id).filter(|t| !t.answered) else { return };
         t.answered = true;
-        let (arrival, wait, nowhere) = (t.arrival, t.deadline - t.from, t.sent.is_empty());
+        let (arrival, wait, nowhere) = (t.arrival, t.deadline - t.from, t.sent.is_empty() && !t.vain);
         let (spent, node) = (now - t.from, t.node);
         let name = self.plan.scenario.class[t.class].name.clone();
         let at = self.firsts.get(&arrival).map_or(now, |f| f.at);
@@ -507,6 +510,13 @@
         self.crossed += 1;
     }
 
+    /// An attempt was sent and will not arrive: whoever sent it waits for it in good faith.
+    pub fn in_vain(&mut self, id: u64) {
+        if let Some(t) = self.tries.get_mut(&id) {
+            t.vain = true;
+        }
+    }
+
     /// An attempt was over at a server without being served.
     pub fn wasted(&mut self) {
         self.wasted += 1;
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -78,6 +78,48 @@
     pub slow: bool,
 }
 
+/// What passes a link.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Passing {
+    /// From the node to the other end.
+    pub there: bool,
+    /// From the other end to the node.
+    pub back: bool,
+    /// One way, in milliseconds, beyond what the network takes anyway.
+    pub delay_ms: f64,
+}
+
+impl Passing {
+    /// All of it, at once.
+    pub const FREE: Passing = Passing { there: true, back: true, delay_ms: 0.0 };
+}
+
+/// What passes between a node and a party, by all faults of links. Where a fault names no other end, all that it
+/// does not name is meant.
+pub fn passing(faults: &[&Fault], node: usize, party: &dyn Fn(&Ends) -> bool) -> Passing {
+    let mut all = Passing::FREE;
+    for f in faults {
+        let one_way = f.kind == Kind::LinkOneWay;
+        if !matches!(f.kind, Kind::LinkCut | Kind::LinkOneWay | Kind::LinkDelay) {
+            continue;
+        }
+        let other = f.to == Ends::default();
+        let (node_on, party_on) = (f.on.nodes.contains(&node), party(&f.on));
+        let node_to = if other { !node_on } else { f.to.nodes.contains(&node) };
+        let party_to = if other { !party_on } else { party(&f.to) };
+        let (from_node, to_node) = (node_on && party_to, party_on && node_to);
+        if f.kind == Kind::LinkDelay {
+            if from_node || to_node {
+                all.delay_ms += f.size.max(0.0);
+            }
+        } else {
+            all.there &= !(from_node || (to_node && !one_way));
+            all.back &= !(to_node || (from_node && !one_way));
+        }
+    }
+    all
+}
+
 /// A day, drawn.
 #[derive(Clone, Debug)]
 pub struct Plan {
--- a/crates/lab/src/real/links.rs
+++ b/crates/lab/src/real/links.rs
@@ -1,6 +1,7 @@
 //! Links between parties: each pair has an address of its own, and what passes there can be stopped in either
 //! direction, slowed, refused, or met with silence.
 
+use crate::plan::Passing;
 use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener as StdListener};
@@ -20,22 +21,6 @@
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-/// What passes a link.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Passing {
-    /// From the node to the other end.
-    pub there: bool,
-    /// From the other end to the node.
-    pub back: bool,
-    /// One way, in milliseconds, beyond what the network takes anyway.
-    pub delay_ms: f64,
-}
-
-impl Passing {
-    /// All of it, at once.
-    pub const FREE: Passing = Passing { there: true, back: true, delay_ms: 0.0 };
-}
-
 /// A link between a node and another party.
 pub struct Link {
     passing: Mutex<Passing>,
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -11,11 +11,11 @@
 mod timer;
 
 use crate::judge::{Figures, Judge, Rule, Verdict};
-use crate::plan::{Arrival, Ends, Fault, Plan};
+use crate::plan::{Arrival, Ends, Fault, Passing, Plan, passing};
 use crate::scenario::{Kind, Scenario};
 use clients::Clients;
 use discovery::Discovery;
-use links::{Link, Passing, lock};
+use links::{Link, lock};
 use nodes::{Node, Nodes};
 use peers::Peers;
 use releases::Releases;
@@ -781,32 +781,6 @@
     )
 }
 
-/// What passes between a node and a party, by all faults of links. Where a fault names no other end, all that it
-/// does not name is meant.
-fn passing(faults: &[&Fault], node: usize, party: &dyn Fn(&Ends) -> bool) -> Passing {
-    let mut all = Passing::FREE;
-    for f in faults {
-        let one_way = f.kind == Kind::LinkOneWay;
-        if !matches!(f.kind, Kind::LinkCut | Kind::LinkOneWay | Kind::LinkDelay) {
-            continue;
-        }
-        let other = f.to == Ends::default();
-        let (node_on, party_on) = (f.on.nodes.contains(&node), party(&f.on));
-        let node_to = if other { !node_on } else { f.to.nodes.contains(&node) };
-        let party_to = if other { !party_on } else { party(&f.to) };
-        let (from_node, to_node) = (node_on && party_to, party_on && node_to);
-        if f.kind == Kind::LinkDelay {
-            if from_node || to_node {
-                all.delay_ms += f.size.max(0.0);
-            }
-        } else {
-            all.there &= !(from_node || (to_node && !one_way));
-            all.back &= !(to_node || (from_node && !one_way));
-        }
-    }
-    all
-}
-
 /// Runs something of the lab on a runtime of its own.
 ///
 /// # Errors
--- a/crates/lab/src/real/servers.rs
+++ b/crates/lab/src/real/servers.rs
@@ -3,7 +3,7 @@
 use super::World;
 use super::links::{Door, End, Gate, Gated, Link, lock, own_ip};
 use crate::judge::Rule;
-use crate::server::{Admit, Server, Spec};
+use crate::server::{Admit, Server, spec};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -92,23 +92,7 @@
 impl Host {
     /// A server that has no addresses yet, warm at the day's beginning.
     pub fn new(world: &World, number: usize) -> Host {
-        let f = &world.plan.scenario.fleet;
-        let spec = Spec {
-            cores: f.cores,
-            speed: world.plan.machines[number].speed,
-            slots: (f.slots_per_core * f.cores).round() as usize,
-            queue: (f.queue_per_core * f.cores).round() as usize,
-            thrash_at: f.thrash_at,
-            thrash: f.thrash,
-            cold_from: f.cold_from,
-            cold_ms: f.cold_s * 1000.0,
-            key_saving: f.key_saving,
-            key_ms: f.key_s * 1000.0,
-            keys: f.keys,
-            cancel_stops: f.cancel_stops,
-            fall_multiple: world.plan.scenario.rules.fall_multiple,
-            fall_ms: world.plan.scenario.rules.fall_s * 1000.0,
-        };
+        let spec = spec(&world.plan, number);
         Host {
             number,
             model: Mutex::new(Server::new(spec, -1e12)),
@@ -177,7 +161,7 @@
         lock(&self.waiting).clear();
         for (node, link) in self.links.iter().enumerate() {
             if vanished {
-                link.set(super::links::Passing { there: false, back: false, ..link.passing() });
+                link.set(crate::plan::Passing { there: false, back: false, ..link.passing() });
             } else {
                 link.reset();
             }
@@ -191,7 +175,7 @@
         lock(&self.waiting).clear();
         self.up.store(true, Ordering::SeqCst);
         for (node, link) in self.links.iter().enumerate() {
-            link.set(super::links::Passing { there: true, back: true, ..link.passing() });
+            link.set(crate::plan::Passing { there: true, back: true, ..link.passing() });
             // What was open before the machine was away is reset once it is back.
             link.reset();
             self.door(node, false);
--- a/crates/lab/src/server.rs
+++ b/crates/lab/src/server.rs
@@ -1,6 +1,7 @@
 //! A config server as a model: cores shared by what is in work, a waiting room, keys that it remembers, and a cold
 //! start. No I/O and no clock: whoever drives it says when it is.
 
+use crate::plan::Plan;
 use std::collections::{HashMap, VecDeque};
 
 /// What kind of machine it is.
@@ -36,6 +37,27 @@
     pub fall_ms: f64,
 }
 
+/// The machine of a server of a day.
+pub fn spec(plan: &Plan, number: usize) -> Spec {
+    let f = &plan.scenario.fleet;
+    Spec {
+        cores: f.cores,
+        speed: plan.machines[number].speed,
+        slots: (f.slots_per_core * f.cores).round() as usize,
+        queue: (f.queue_per_core * f.cores).round() as usize,
+        thrash_at: f.thrash_at,
+        thrash: f.thrash,
+        cold_from: f.cold_from,
+        cold_ms: f.cold_s * 1000.0,
+        key_saving: f.key_saving,
+        key_ms: f.key_s * 1000.0,
+        keys: f.keys,
+        cancel_stops: f.cancel_stops,
+        fall_multiple: plan.scenario.rules.fall_multiple,
+        fall_ms: plan.scenario.rules.fall_s * 1000.0,
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Job {
     id: u64,
