--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -1269,15 +1269,13 @@
                     self.completed(server, done);
                     self.schedule(server);
                 }
-                What::Drop { server, own } => {
-                    if self.machines[server].waiting.remove(&own).is_some() {
-                        let mut done = Vec::new();
-                        let now = self.now;
-                        self.machines[server].model.advance(now, &mut done);
-                        self.machines[server].model.cancel(own);
-                        self.completed(server, done);
-                        self.schedule(server);
-                    }
+                What::Drop { server, own } if self.machines[server].waiting.remove(&own).is_some() => {
+                    let mut done = Vec::new();
+                    let now = self.now;
+                    self.machines[server].model.advance(now, &mut done);
+                    self.machines[server].model.cancel(own);
+                    self.completed(server, done);
+                    self.schedule(server);
                 }
                 What::Probed { node, epoch, server, outcome, begun } if self.epochs[node] == epoch => {
                     let backend = BackendId(stable_hash(&plan.machines[server].name));
