Keep a returning zone above what counts as left, and draw the same cases each time

Cause: for nodes of other zones a returning zone's weight is squared, 0.0025 at first, which is below the trickle of a zone that is left. The decisions take that for left: they call off safe requests there at every step of the ramp. A small other_region_percent did the same to healthy zones.

Change: what is not left weighs 0.025 at least.

--- a/src/control/packet.rs
+++ b/src/control/packet.rs
@@ -464,6 +464,7 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
         /// With a right checksum, too, nothing that is read can stop the reader.
         #[test]
         fn no_bytes_stop_the_reader(mut bytes in prop::collection::vec(any::<u8>(), HEAD..LONGEST + 10), kind in 0_u8..9) {
--- a/src/control/share.rs
+++ b/src/control/share.rs
@@ -337,6 +337,7 @@
     }
 
     proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
         /// In any order, each as often as it likes, the same is known in the end.
         #[test]
         fn facts_converge(facts in prop::collection::vec(fact(), 1..20), order in any::<u64>()) {
--- a/src/control/zones.rs
+++ b/src/control/zones.rs
@@ -21,6 +21,8 @@
 const LEAST_FAILURES: u32 = 4;
 /// Weight of a zone that is out: trials by requests that may be repeated.
 pub const TRICKLE: f64 = 0.01;
+/// A zone that is not left weighs this at least: below it the decisions take it for left.
+pub const LEAST_USED: f64 = 0.025;
 /// Answers in a row, and the part of its servers they must come from, until a zone begins to return.
 const GOOD_ANSWERS: u32 = 4;
 /// It begins to return no sooner than this after it was left, doubled each time that it fails again soon.
@@ -402,7 +404,7 @@
             Stand::Out(_) => TRICKLE,
             // Home traffic returns before strangers'.
             Stand::Returning(weight) if Some(number) == self.own || self.own.is_none() => weight,
-            Stand::Returning(weight) => weight * weight,
+            Stand::Returning(weight) => (weight * weight).max(LEAST_USED),
         }
     }
 
@@ -588,7 +590,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
         /// Whatever fails when: some zone stays in use, by verdict no more than two thirds are left, and under calm
         /// all return, each weight only rising.
         #[test]
--- a/src/node/zoning.rs
+++ b/src/node/zoning.rs
@@ -6,7 +6,7 @@
 use crate::log::say;
 use crate::rules::Current;
 use crate::sharing::Sharing;
-use daleturn::control::zones::Order;
+use daleturn::control::zones::{LEAST_USED, Order};
 use daleturn::options::Topology;
 use serde_json::{Value, json};
 use std::cell::RefCell;
@@ -106,7 +106,11 @@
         // With nothing left at home, the other regions are as good as any.
         let any_home = (0..count).any(|zone| home(zone) && part(zone) >= 0.5);
         let far = f64::from(topology.other_region_percent) / 100.0;
-        let weight = |zone: u16| part(zone) * if home(zone) || !any_home { 1.0 } else { far };
+        let weight = |zone: u16| match part(zone) {
+            left if left < LEAST_USED => left,
+            part if home(zone) || !any_home => part,
+            part => (part * far).max(LEAST_USED),
+        };
         self.driver.take(Input::Zones((0..count).map(weight).collect()));
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -384,7 +384,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
     /// Whatever was lost, late, doubled, cut, crashed and started again: a while after the last of it, all know
     /// who is there and what was said.
     #[test]
