--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -9,6 +9,8 @@
 
 /// A longer file is no scenario.
 const LONGEST: u64 = 1024 * 1024;
+/// A planned restart is over no sooner.
+pub const LEAST_RESTART_S: f64 = 1.5;
 
 /// A day.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -625,6 +627,12 @@
             if !(t.at_s >= 0.0 && t.for_s >= 0.0 && t.size.is_finite()) {
                 return wrong(&key, "at_s and for_s must not be below 0");
             }
+            if t.kind == Kind::ServerRestart && t.for_s < LEAST_RESTART_S {
+                return wrong(
+                    &key,
+                    "a server-restart drains for a second first: for_s must be 1.5 at least",
+                );
+            }
             for on in t.on.iter().chain(&t.to) {
                 if let Err(reason) = self.members(on.get_ref()) {
                     let line = tomlfile::line(text, on.span().start);
@@ -688,5 +696,7 @@
         assert!(trouble("on = [\"zone:b\"]").contains("there is no zone \"b\""));
         assert!(trouble("on = [\"part:2\"]").contains("no part between"));
         assert!(trouble("on = [\"x\"]").contains("neither all"));
+        let hasty = trouble("kind = \"server-restart\"\nfor_s = 0.7\non = [\"s0\"]");
+        assert!(hasty.contains("drains for a second first"), "{hasty}");
     }
 }
