Rehearse disk faults under real nodes, and keep who took a backend out, why and when

Change: a disk under orders (`[state] rehearse`, for drills) that fails, stalls and keeps a course from which the lab draws what a power loss leaves.

--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,160 @@
+//! What the decisions of one request cost, from its arrival to its answer, at several sizes of the fleet: no sockets, no
+//! clock, nothing but the module. `cargo bench --bench decisions` prints it.
+
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use daleturn::Balancer;
+use daleturn::interface::*;
+use std::hint::black_box;
+
+fn settings() -> Settings {
+    let class = |effect, worth| Class {
+        aim_ms: 300.0,
+        deadline_ms: 800.0,
+        worth,
+        late_worth: 0.4,
+        effect,
+        key_ttl_ms: 1200.0,
+        aim_stretch: 0.0,
+    };
+    Settings {
+        classes: vec![
+            class(Effect::Safe, 1.0),
+            class(Effect::Unsafe, 8.0),
+            class(Effect::Keyed(Group::Zone), 3.0),
+        ],
+        tenants: vec![Tenant { quota_rps: 1000.0 }],
+        goal: Goal {
+            whole: 0.45,
+            worst_window: 0.15,
+            worst_class: 0.3,
+            worst_tenant: 0.1,
+            nines: 0.0,
+            full_at_nines: 3.0,
+        },
+        prices: Prices::default(),
+        instances: 4,
+        slot: 0,
+        zone: Some(0),
+        weights: Weights::Nominal,
+        reporting: Reporting::None,
+        discovery: Discovery::Pushed,
+        max_attempts: 3,
+        may_cancel: true,
+        second_copies: false,
+        max_retry_after_ms: 2000.0,
+        probes: true,
+        peer_messages: false,
+        open_cap: 20_000,
+        max_streams: 1,
+        conn_idle_ms: 15_000.0,
+        connect_timeout_ms: 150.0,
+        cpu_us_per_s: 0.0,
+        over_share_worth: 0.1,
+        worth_by_work: true,
+        warm_keys: true,
+        cold_ms: 6000.0,
+        start_capacity: 0.35,
+        fall_multiple: 3.0,
+        fall_ms: 2000.0,
+        late_shedding: false,
+        drain_grace_ms: 500.0,
+        drain_close_ms: None,
+        must_ask_in_ms: 6000.0,
+        tick_ms: 5.0,
+    }
+}
+
+/// A node that has served for some seconds, and what it needs to go on.
+struct World {
+    balancer: Balancer,
+    now: f64,
+    next: u64,
+    out: Vec<Action>,
+    open: std::collections::VecDeque<(RequestId, BackendId)>,
+}
+
+impl World {
+    fn new(servers: u32) -> World {
+        let balancer = Balancer::new(settings(), 7).unwrap_or_else(|e| panic!("{e}"));
+        let mut w = World {
+            balancer,
+            now: 1000.0,
+            next: 0,
+            out: Vec::new(),
+            open: std::collections::VecDeque::new(),
+        };
+        w.tell(Event::Start);
+        let entry = |n: u32| Entry {
+            backend: BackendId(u64::from(n)),
+            zone: (n % 4) as u16,
+            cell: 0,
+            health: Health::Up,
+            units: 1.0,
+            ready_at_ms: 0.0,
+        };
+        w.tell(Event::List { kind: ListKind::Full, entries: (0..servers).map(entry).collect() });
+        for _ in 0..20_000 {
+            w.request();
+        }
+        w
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.balancer.handle(self.now, event, &mut self.out);
+    }
+
+    /// One request comes, and the one that is eight before it is answered: a steady number is in flight.
+    fn request(&mut self) {
+        self.next += 1;
+        self.now += 0.5;
+        let (id, number) = (RequestId(self.next), self.next);
+        let request = Request {
+            id,
+            class: (number % 3) as usize,
+            tenant: Some(0),
+            key: Some(number.wrapping_mul(0x9e37_79b9_7f4a_7c15) % 600),
+            deadline_ms: self.now + 800.0,
+            effort_ms: Some(60.0),
+            retry: false,
+        };
+        self.tell(Event::Request(request));
+        let sent = self.out.iter().find_map(|a| match a {
+            Action::Send { id, backend, .. } => Some((*id, *backend)),
+            _ => None,
+        });
+        self.open.extend(sent);
+        self.out.clear();
+        while self.open.len() > 8 {
+            let Some((id, backend)) = self.open.pop_front() else { return };
+            let ended = Ended {
+                id,
+                attempt: 0,
+                backend,
+                outcome: Outcome::Done,
+                last: true,
+                elapsed_ms: 30.0,
+                load: Load::default(),
+            };
+            self.tell(Event::Ended(ended));
+            self.out.clear();
+        }
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut group = c.benchmark_group("request");
+    group.throughput(Throughput::Elements(1));
+    for servers in [24, 200, 1000] {
+        let mut world = World::new(servers);
+        group.bench_function(BenchmarkId::from_parameter(format!("{servers} servers")), |b| {
+            b.iter(|| {
+                world.request();
+                black_box(world.next)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/crates/cli/src/call.rs
+++ b/crates/cli/src/call.rs
@@ -2,7 +2,7 @@
 
 use crate::page::{Failure, print, table};
 use clap::Subcommand;
-use daleturn::calls::{Call, ask};
+use daleturn::calls::{Call, LONGEST_WHY, ask};
 use serde_json::{Value, json};
 use std::fmt::Write;
 use std::io::IsTerminal;
@@ -41,8 +41,11 @@
         /// The backend's uid in discovery's list
         id: String,
         /// At every node that shares state with this one
-        #[arg(long)]
+        #[arg(long, conflicts_with = "why")]
         fleet: bool,
+        /// The reason, for whoever looks later
+        #[arg(long, value_name = "WORDS", value_parser = reason)]
+        why: Option<String>,
     },
     /// Put a backend back
     Uncordon {
@@ -102,12 +105,21 @@
     },
 }
 
+/// A reason as the node takes it: one line.
+fn reason(text: &str) -> Result<String, String> {
+    let words = text.split_ascii_whitespace().collect::<Vec<_>>().join(" ");
+    let fits = (1..=LONGEST_WHY).contains(&words.len());
+    if fits { Ok(words) } else { Err(format!("a reason has 1 to {LONGEST_WHY} bytes")) }
+}
+
 pub fn run(args: &Args) -> Result<(), Failure> {
     let call = match &args.what {
         What::Health => Call::Health,
-        What::Cordon { id, fleet: false } => Call::Cordon(id.clone()),
+        What::Cordon { id, fleet: false, why } => {
+            Call::Cordon { id: id.clone(), why: why.clone().unwrap_or_default() }
+        }
         What::Uncordon { id, fleet: false } => Call::Uncordon(id.clone()),
-        What::Cordon { id, fleet: true } => Call::FleetCordon(id.clone()),
+        What::Cordon { id, fleet: true, .. } => Call::FleetCordon(id.clone()),
         What::Uncordon { id, fleet: true } => Call::FleetUncordon(id.clone()),
         What::Zone(Zone::Leave { zone, for_s, force }) => {
             Call::ZoneLeave { zone: zone.clone(), for_s: *for_s, force: *force }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -12,6 +12,9 @@
 /// A longer answer is none of a node's.
 const LONGEST_ANSWER: u64 = 8 * 1024 * 1024;
 
+/// A longer reason is none.
+pub const LONGEST_WHY: usize = 200;
+
 /// Holder of a lease that is given up.
 pub const NOBODY: &str = "-";
 
@@ -21,7 +24,12 @@
     /// Whether it takes clients.
     Health,
     /// Take a backend out.
-    Cordon(String),
+    Cordon {
+        /// The backend.
+        id: String,
+        /// Why, in the operator's words; may be empty.
+        why: String,
+    },
     /// Put it back.
     Uncordon(String),
     /// The same at every node of the fleet.
@@ -104,6 +112,9 @@
     /// Not a time.
     #[error("{0:?} is no time such as 90s, 30m or 2h, of a day at most")]
     Time(String),
+    /// What follows `--why` is no reason.
+    #[error("--why takes a reason of 1 to {LONGEST_WHY} bytes, and comes last")]
+    Why,
     /// It takes one word more.
     #[error("{0} takes one backend's ID")]
     NeedsId(&'static str),
@@ -137,6 +148,16 @@
             let lease = number.parse().map_err(|_| CallError::Number("--lease"))?;
             return Ok(Call::Leased { out: call == "cordon", id: id.to_owned(), lease });
         }
+        if let (Some(id), ["--why", words @ ..], "cordon") =
+            (id.filter(|id| *id != "--fleet"), &rest[..], call)
+        {
+            let (id, why) = (id.to_owned(), words.join(" "));
+            return if (1..=LONGEST_WHY).contains(&why.len()) {
+                Ok(Call::Cordon { id, why })
+            } else {
+                Err(CallError::Why)
+            };
+        }
         let fleet = id == Some("--fleet") && matches!(call, "cordon" | "uncordon");
         if fleet {
             id = words.next();
@@ -146,7 +167,8 @@
         let alone = |name, call| if id.is_none() { Ok(call) } else { Err(CallError::TakesNothing(name)) };
         match call {
             "health" => alone("health", Call::Health),
-            "cordon" => with_id("cordon").map(if fleet { Call::FleetCordon } else { Call::Cordon }),
+            "cordon" if fleet => with_id("cordon").map(Call::FleetCordon),
+            "cordon" => with_id("cordon").map(|id| Call::Cordon { id, why: String::new() }),
             "uncordon" => with_id("uncordon").map(if fleet { Call::FleetUncordon } else { Call::Uncordon }),
             "quiesce" => alone("quiesce", Call::Quiesce),
             "resume" => alone("resume", Call::Resume),
@@ -195,7 +217,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Call::Health => f.write_str("health"),
-            Call::Cordon(id) => write!(f, "cordon {id}"),
+            Call::Cordon { id, why } if why.is_empty() => write!(f, "cordon {id}"),
+            Call::Cordon { id, why } => write!(f, "cordon {id} --why {why}"),
             Call::Uncordon(id) => write!(f, "uncordon {id}"),
             Call::FleetCordon(id) => write!(f, "cordon --fleet {id}"),
             Call::FleetUncordon(id) => write!(f, "uncordon --fleet {id}"),
@@ -281,7 +304,8 @@
         let id = || "s-1".to_owned();
         let all = [
             Call::Health,
-            Call::Cordon(id()),
+            Call::Cordon { id: id(), why: String::new() },
+            Call::Cordon { id: id(), why: "disk is being replaced".to_owned() },
             Call::Uncordon(id()),
             Call::FleetCordon(id()),
             Call::FleetUncordon(id()),
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -647,9 +647,9 @@
     }
 
     /// These are out, too, by words from before this start.
-    pub fn still_out(self: &Rc<Self>, uids: &[String]) {
+    pub fn still_out<'a>(self: &Rc<Self>, uids: impl Iterator<Item = &'a String>) {
         let mut cordoned = self.core.borrow().cordoned.clone();
-        cordoned.extend(uids.iter().map(|uid| (BackendId(stable_hash(uid)), uid.clone())));
+        cordoned.extend(uids.map(|uid| (BackendId(stable_hash(uid)), uid.clone())));
         self.take(Input::Cordoned(cordoned));
     }
 
--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -2,10 +2,12 @@
 //! directory that `[state] dir` names. A thread of its own has the disk; nobody who is served waits for it.
 
 use crate::log::say;
+use daleturn::options::State;
+use daleturn_store::rehearse::Rehearsed;
 use daleturn_store::{Disk, Entry, Limits, RealDisk, Store, StoreError};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -44,11 +46,43 @@
     u64::try_from(wall.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Who took a backend out, why and when.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Cordon {
+    /// In milliseconds since 1970, by this machine's clock.
+    pub since_ms: u64,
+    /// A release's controller did, and may put it back; else an operator.
+    pub release: bool,
+    /// The operator's reason; may be empty.
+    pub why: String,
+}
+
+/// How a controller's word begins on disk; a reason has no such byte.
+const RELEASE: &[u8] = b"\0release";
+
+impl Cordon {
+    /// One that is said now.
+    pub fn now(release: bool, why: &str) -> Cordon {
+        Cordon { since_ms: wall_ms(), release, why: why.to_owned() }
+    }
+
+    /// A build that knows no reasons takes whatever is here for an operator's word.
+    fn value(&self) -> Vec<u8> {
+        if self.release { RELEASE.to_vec() } else { self.why.clone().into_bytes() }
+    }
+
+    fn read(entry: &Entry) -> Cordon {
+        let release = entry.value == RELEASE;
+        let why = if release { String::new() } else { String::from_utf8_lossy(&entry.value).into_owned() };
+        Cordon { since_ms: entry.written_ms, release, why }
+    }
+}
+
 /// What a start finds and believes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Kept {
-    /// Backends that are out by an operator's word.
-    pub cordons: Vec<String>,
+    /// Backends that are out by an operator's or a controller's word.
+    pub cordons: BTreeMap<String, Cordon>,
     /// Clients are to be sent away.
     pub quiesced: bool,
     /// Zones that are left by an operator's word, and for how long still where that was said.
@@ -75,7 +109,11 @@
     };
     Kept {
         // A word holds until it is taken back, however old it is.
-        cordons: entries.keys().filter(|(kind, _)| kind == CORDON).map(|(_, uid)| uid.clone()).collect(),
+        cordons: entries
+            .iter()
+            .filter(|((kind, _), _)| kind == CORDON)
+            .map(|((_, uid), e)| (uid.clone(), Cordon::read(e)))
+            .collect(),
         quiesced: get(QUIESCE, NODE).is_some(),
         lease: get(LEASE, NODE).and_then(|e| String::from_utf8(e.value.clone()).ok()),
         zones: entries
@@ -116,19 +154,30 @@
     pub failed: u64,
 }
 
+/// The disk as it is, or as it is rehearsed with.
+type AnyDisk = Box<dyn Disk>;
+
+fn disk(state: &State) -> Result<AnyDisk, StoreError> {
+    let real = RealDisk::open(Path::new(&state.dir))?;
+    Ok(match state.rehearse.as_str() {
+        "" => Box::new(real),
+        place => Box::new(Rehearsed::new(real, Path::new(place))?),
+    })
+}
+
 struct Thread<D> {
     store: Store<D>,
 }
 
-impl Thread<RealDisk> {
+impl Thread<AnyDisk> {
     /// Opens the directory as its one writer; a new incarnation is on disk before anybody hears of it.
-    fn open(dir: &Path, limits: Limits) -> Result<(Thread<RealDisk>, Kept, u64), StoreError> {
-        let (mut store, report) = Store::open(RealDisk::open(dir)?, limits)?;
+    fn open(state: &State, limits: Limits) -> Result<(Thread<AnyDisk>, Kept, u64), StoreError> {
+        let (mut store, report) = Store::open(disk(state)?, limits)?;
         for (file, aside) in &report.aside {
             say!(ERROR, "state", file = file.as_str(), aside = aside.as_str(), "state.damaged");
         }
         let now = wall_ms();
-        let number = |store: &Store<RealDisk>| {
+        let number = |store: &Store<AnyDisk>| {
             let entry = store.get(INCARNATION, NODE)?;
             Some(u64::from_le_bytes(entry.value.as_slice().try_into().ok()?))
         };
@@ -208,7 +257,7 @@
 
 /// The thread's loop: takes the directory, at once or once the process before this one ends, and does its jobs.
 fn run(
-    dir: &Path,
+    state: &State,
     first: &SyncSender<Kept>,
     jobs: &Receiver<Job>,
     condition: &std::sync::Mutex<Condition>,
@@ -219,7 +268,7 @@
     };
     let mut told = false;
     let mut thread = loop {
-        match Thread::open(dir, limits) {
+        match Thread::open(state, limits) {
             Ok((thread, kept, incarnation)) => {
                 set(&|c| c.incarnation = Some(incarnation));
                 if !told {
@@ -231,7 +280,7 @@
                 // The other process of this node writes: what it has written can be read.
                 if !told {
                     told = true;
-                    let looked = Store::look(&mut RealDisk::look(dir), limits);
+                    let looked = Store::look(&mut RealDisk::look(Path::new(&state.dir)), limits);
                     let kept = looked
                         .map(|(entries, ..)| believed(&entries, wall_ms(), false))
                         .unwrap_or_default();
@@ -274,14 +323,14 @@
 
 impl Durable {
     /// Starts the thread and waits for what it finds, for so long as a start may.
-    pub fn open(dir: PathBuf) -> (Rc<Durable>, Kept) {
+    pub fn open(state: State) -> (Rc<Durable>, Kept) {
         let (jobs, work) = sync_channel(JOBS);
         let (first, found) = sync_channel(1);
         let condition = std::sync::Arc::new(std::sync::Mutex::new(Condition::default()));
         let own = condition.clone();
         let thread = std::thread::Builder::new()
             .name("state".to_owned())
-            .spawn(move || run(&dir, &first, &work, &own));
+            .spawn(move || run(&state, &first, &work, &own));
         let kept = match &thread {
             Ok(_) => found.recv_timeout(START_TIME),
             Err(_) => Err(RecvTimeoutError::Disconnected),
@@ -327,8 +376,8 @@
     ///
     /// # Errors
     /// It is not on disk; nothing holds then.
-    pub async fn cordon(&self, uid: &str, out: bool) -> Result<(), String> {
-        self.word(CORDON, uid, out.then(Vec::new)).await
+    pub async fn cordon(&self, uid: &str, out: Option<&Cordon>) -> Result<(), String> {
+        self.word(CORDON, uid, out.map(Cordon::value)).await
     }
 
     /// Stores that a zone is left, for how long where that is said, or that it may return.
@@ -429,7 +478,7 @@
     fn a_word_holds_however_old_and_what_was_learned_only_while_it_is_fresh() {
         let now = 1_000_000_000_000_u64;
         let at = |age_ms: i64| believed(&entries(now.saturating_add_signed(-age_ms)), now, false);
-        let word = |k: &Kept| k.cordons == ["s-1"] && k.quiesced;
+        let word = |k: &Kept| k.cordons.keys().eq(["s-1"]) && k.quiesced;
         let fresh = at(1000);
         assert!(word(&fresh) && fresh.list.is_some() && fresh.learned.is_some());
         let hour = at(3_600_000);
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -166,12 +166,12 @@
     let state = Rc::new(State::open(config.listen));
     let (durable, kept) = match options.state.dir.as_str() {
         "" => (None, Kept::default()),
-        dir => {
-            let (durable, kept) = Durable::open(dir.into());
+        _ => {
+            let (durable, kept) = Durable::open(options.state.clone());
             (Some(durable), kept)
         }
     };
-    for uid in &kept.cordons {
+    for uid in kept.cordons.keys() {
         // So that another process of this node knows it, too; without a place for that it holds here.
         let _ = state.cordon(uid);
     }
@@ -204,7 +204,7 @@
         wish,
         window(&options),
     );
-    driver.still_out(&kept.cordons);
+    driver.still_out(kept.cordons.keys());
     driver.take(Input::Start);
     let names = &rules.get().names;
     let known = discovery::listing(&config.known, names);
@@ -299,6 +299,7 @@
             sharing: sharing.clone(),
             zoning: zoning.clone(),
             lease: Lease::stored(kept.lease.as_deref()).into(),
+            cordons: kept.cordons.clone().into(),
             name: config.name.clone(),
             started,
             started_ms: driver.clock.now_ms() as u64,
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -1,7 +1,7 @@
 //! The operators' address: one call to a connection, one line back, then it closes.
 
 use crate::driver::Driver;
-use crate::durable::Durable;
+use crate::durable::{Cordon, Durable};
 use crate::log::{Log, say};
 use crate::peers::Peers;
 use crate::rules::Current;
@@ -14,7 +14,7 @@
 use daleturn::control::packet::LONGEST_NAME;
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -59,8 +59,6 @@
     holder: String,
     number: u64,
     renewed: Option<Instant>,
-    /// Backends that an operator has taken out by himself since this start: no controller puts them back.
-    operators: BTreeSet<String>,
 }
 
 impl Lease {
@@ -68,7 +66,7 @@
     pub fn stored(text: Option<&str>) -> Lease {
         let (holder, number) = text.and_then(|t| t.split_once(' ')).unwrap_or_default();
         let number = number.parse().unwrap_or(0);
-        Lease { holder: holder.to_owned(), number, renewed: None, operators: BTreeSet::new() }
+        Lease { holder: holder.to_owned(), number, renewed: None }
     }
 
     fn age_s(&self) -> Option<u64> {
@@ -118,6 +116,8 @@
     pub durable: Option<Rc<Durable>>,
     /// Who may take backends out for a release.
     pub lease: RefCell<Lease>,
+    /// Who took which backend out, and why, as far as it was said here.
+    pub cordons: RefCell<BTreeMap<String, Cordon>>,
     /// What the nodes share, where they do.
     pub sharing: Option<Rc<Sharing>>,
     /// Zones, where they are judged.
@@ -185,15 +185,13 @@
     async fn store(&self, call: &Call) -> Result<(), String> {
         let Some(durable) = &self.durable else { return Ok(()) };
         let stored = match call {
-            Call::Cordon(id)
+            Call::Cordon { id, .. }
             | Call::Uncordon(id)
             | Call::FleetCordon(id)
             | Call::FleetUncordon(id)
             | Call::Leased { id, .. } => {
                 self.driver.check(id).map_err(|e| e.to_string())?;
-                let out =
-                    matches!(call, Call::Cordon(_) | Call::FleetCordon(_) | Call::Leased { out: true, .. });
-                durable.cordon(id, out).await
+                durable.cordon(id, self.said(call).as_ref()).await
             }
             Call::Lease { holder, number } if *number > self.lease.borrow().number => {
                 durable.lease(&format!("{holder} {number}")).await
@@ -206,6 +204,35 @@
         stored.map_err(|why| format!("nothing changed, it cannot be stored: {why}"))
     }
 
+    /// What a call makes of a backend's cordon; none where it puts it back.
+    fn said(&self, call: &Call) -> Option<Cordon> {
+        match call {
+            Call::Cordon { why, .. } => Some(Cordon::now(false, why)),
+            Call::FleetCordon(_) => Some(Cordon::now(false, "said for the whole fleet")),
+            // What an operator took out stays an operator's.
+            Call::Leased { out: true, id, .. } => {
+                let before = self.cordons.borrow().get(id).cloned();
+                Some(before.unwrap_or_else(|| Cordon::now(true, "")))
+            }
+            _ => None,
+        }
+    }
+
+    /// Remembers who took a backend out, once it holds.
+    fn remember(&self, id: &str, said: Option<Cordon>) {
+        let mut cordons = self.cordons.borrow_mut();
+        match said {
+            Some(said) => drop(cordons.insert(id.to_owned(), said)),
+            None => drop(cordons.remove(id)),
+        }
+    }
+
+    /// An operator has it out, by a word to this node or to the whole fleet: no controller puts it back.
+    fn operators(&self, id: &str) -> bool {
+        self.cordons.borrow().get(id).is_some_and(|c| !c.release)
+            || self.sharing.as_ref().is_some_and(|s| s.is_out(id))
+    }
+
     fn zoning(&self) -> Result<&Zoning, String> {
         self.zoning.as_deref().ok_or_else(zoning::off)
     }
@@ -236,7 +263,7 @@
             _ => {}
         }
         if let Call::Leased { out: false, id, .. } = call
-            && self.lease.borrow().operators.contains(id)
+            && self.operators(id)
         {
             return Ok(format!("{id} stays out, as an operator said"));
         }
@@ -255,26 +282,33 @@
                 }
                 "the lease is taken".to_owned()
             }
-            Call::Leased { out: true, id, .. } => self.driver.cordon(id).map_err(|e| e.to_string())?,
-            Call::Leased { id, .. } => self.driver.uncordon(id).map_err(|e| e.to_string())?,
-            Call::Cordon(id) => {
-                self.lease.borrow_mut().operators.insert(id.clone());
+            Call::Leased { out: true, id, .. } => {
+                let said = self.driver.cordon(id).map_err(|e| e.to_string())?;
+                self.remember(id, self.said(call));
+                said
+            }
+            Call::Leased { id, .. } | Call::Uncordon(id) => {
+                let said = self.driver.uncordon(id).map_err(|e| e.to_string())?;
+                self.remember(id, None);
+                said
+            }
+            Call::Cordon { id, .. } => {
                 let said = self.driver.cordon(id).map_err(|e| e.to_string())?;
+                self.remember(id, self.said(call));
                 let lasts = self.durable.is_some() || self.driver.lasts();
                 said + if lasts { "" } else { ", until this process ends" }
             }
-            Call::Uncordon(id) => {
-                self.lease.borrow_mut().operators.remove(id);
-                self.driver.uncordon(id).map_err(|e| e.to_string())?
-            }
             Call::ZoneLeave { zone, for_s, force } => {
                 self.zoning()?.say(zone, true, *for_s, *force).await?
             }
             Call::ZoneHold(zone) => self.zoning()?.say(zone, true, None, true).await?,
             Call::ZoneReturn(zone) => self.zoning()?.say(zone, false, None, true).await?,
             Call::Zones => return Ok(Zoning::figures(&self.driver, &self.rules)?.to_string()),
-            Call::FleetCordon(id) => self.fleet_word(id, true)?,
-            Call::FleetUncordon(id) => self.fleet_word(id, false)?,
+            Call::FleetCordon(id) | Call::FleetUncordon(id) => {
+                let said = self.fleet_word(id, matches!(call, Call::FleetCordon(_)))?;
+                self.remember(id, self.said(call));
+                said
+            }
             Call::Quiesce => self.server.quiesce()?,
             Call::Resume => self.server.resume()?,
             Call::Stats => return Ok(self.stats()),
@@ -304,6 +338,15 @@
             "failed": state.map(|s| s.failed)});
         let lease = self.lease.borrow();
         json["lease"] = json!({"holder": lease.holder, "number": lease.number, "age_s": lease.age_s()});
+        // Those that are out: one may have been put back by a word to another node.
+        let out = self.driver.out();
+        let cordons = self.cordons.borrow();
+        let who = |uid: &String| {
+            let said = cordons.get(uid);
+            json!({"id": uid, "since_ms": said.map(|c| c.since_ms), "why": said.map(|c| c.why.as_str()),
+                   "by": said.map(|c| if c.release { "release" } else { "operator" })})
+        };
+        json["cordons"] = out.iter().map(who).collect();
         json["topology"] = Zoning::figures(&self.driver, &self.rules).unwrap_or(Value::Null);
         json["share"] = self.sharing.as_ref().map_or(Value::Null, |s| s.json());
         json["peers"] = json!({"sent": sent, "received": received});
--- a/src/node/sharing.rs
+++ b/src/node/sharing.rs
@@ -290,6 +290,11 @@
         Ok(())
     }
 
+    /// Whether an operator's word for the whole fleet has a backend out.
+    pub fn is_out(&self, uid: &str) -> bool {
+        self.fleet.borrow().shared().said(uid).is_some_and(|said| said.value.out)
+    }
+
     /// This node ends, and no other process of it goes on.
     pub fn leave(&self) {
         self.act(Event::Leave);
--- a/src/options.rs
+++ b/src/options.rs
@@ -89,6 +89,8 @@
 pub struct State {
     /// A directory that survives the machine, for this node alone; without it nothing does.
     pub dir: String,
+    /// For drills: a directory from which the disk takes orders to fail, and where it tells what was done to it.
+    pub rehearse: String,
 }
 
 /// `[log]`.
@@ -212,7 +214,7 @@
 }
 
 /// Every key that the file may hold.
-pub const KEYS: [Key; 14] = [
+pub const KEYS: [Key; 15] = [
     Key { key: "log.format", unit: "text | json", about: "how a line of the log is written" },
     Key {
         key: "log.level",
@@ -244,6 +246,11 @@
         unit: "directory; taken at a start only",
         about: "keeps operators' words, the list and what was learned over crash and power loss",
     },
+    Key {
+        key: "state.rehearse",
+        unit: "directory; taken at a start only; for drills, not for service",
+        about: "the disk takes orders to fail from there, and tells there what was done to it",
+    },
     Key {
         key: "share.on",
         unit: "true | false; taken at a start only",
