--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -5,8 +5,9 @@
 use daleturn_lab::baseline::{Pick, serve};
 use daleturn_lab::hunt::hunt;
 use daleturn_lab::judge::Figures;
+use daleturn_lab::load::{Load, Loaded};
 use daleturn_lab::plan::Plan;
-use daleturn_lab::real::{Moment, Options, Outcome, PlayError, beside, block_on, play};
+use daleturn_lab::real::{Moment, Options, Outcome, PlayError, READY, beside, block_on, play};
 use daleturn_lab::report;
 use daleturn_lab::scenario::Scenario;
 use daleturn_lab::sim::simulate;
@@ -64,6 +65,48 @@
         /// How many days, each with a seed of its own
         #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=1000))]
         pairs: u64,
+        /// A key of the scenario and its value, for the first side alone; may be given again
+        #[arg(long, value_name = "KEY=VALUE")]
+        set_a: Vec<String>,
+        /// The same for the other side
+        #[arg(long, value_name = "KEY=VALUE")]
+        set_b: Vec<String>,
+    },
+    /// Sends load alone to an address of this machine: open loop, times from when each request was due
+    #[command(
+        after_help = "Example:\n  daleturn lab load 127.0.0.1:8080 --rate 500 --for 30s --path /api \\\n    --header \
+                            'x-qos: catalogue'\n\nTimes count from the moment at which a request was due, so a server \
+                            that stands still hides none\nof those behind it. Only 127.0.0.0/8 is asked."
+    )]
+    Load {
+        /// Whom
+        #[arg(value_name = "ADDR")]
+        address: std::net::SocketAddr,
+        /// Requests a second
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        /// How long
+        #[arg(long = "for", value_name = "TIME", default_value = "10s",
+              value_parser = |t: &str| daleturn::calls::Call::time(t).map_err(|e| e.to_string()))]
+        for_s: u32,
+        /// A request's time, in milliseconds, from when it was due
+        #[arg(long, value_name = "MS", default_value_t = 10_000)]
+        limit: u64,
+        /// Connections at most
+        #[arg(long, default_value_t = 256)]
+        connections: usize,
+        /// Path of the request
+        #[arg(long, default_value = "/")]
+        path: String,
+        /// A header field, NAME: VALUE; may be given again
+        #[arg(long, value_name = "FIELD")]
+        header: Vec<String>,
+        /// Draws the moments
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Write the outcome as JSON into this file
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
     },
     /// Measures what the node costs beside a plain pass-through, in turns on one core each
     Cost {
@@ -137,6 +180,9 @@
         /// The node's program
         #[arg(long, value_name = "PATH")]
         node: Option<PathBuf>,
+        /// Write a page with a plot for each figure into this folder
+        #[arg(long, value_name = "DIR")]
+        report: Option<PathBuf>,
     },
 }
 
@@ -190,7 +236,14 @@
 }
 
 fn options(program: PathBuf, stop: &watch::Receiver<bool>) -> Options {
-    Options { node: program, node_args: Vec::new(), next: None, logs: None, stop: stop.clone() }
+    Options {
+        node: program,
+        node_args: Vec::new(),
+        next: None,
+        logs: None,
+        ready: READY,
+        stop: stop.clone(),
+    }
 }
 
 /// Plays on a runtime of its own; Ctrl-C ends it and leaves no process behind.
@@ -382,20 +435,43 @@
             let kept = matches!(outcome.verdict, daleturn_lab::judge::Verdict::Kept);
             Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
         }
-        Command::Compare { file, a, b, pairs } => {
-            let scenario = match scenario(file) {
-                Ok(scenario) => scenario,
-                Err(code) => return Ok(code),
+        Command::Compare { file, a, b, pairs, set_a, set_b } => {
+            let side = |sets: &[String]| -> Result<Scenario, ExitCode> {
+                with_sets(file, sets).map_err(|why| {
+                    eprintln!("daleturn: {why}");
+                    ExitCode::from(2)
+                })
             };
-            compare(&scenario, [program(a)?, program(b)?], *pairs)
+            let days = match (side(set_a), side(set_b)) {
+                (Ok(a), Ok(b)) => [a, b],
+                (Err(code), _) | (_, Err(code)) => return Ok(code),
+            };
+            let days = compare(&days, [program(a)?, program(b)?], *pairs)?;
+            let broken = |side: usize| days[side].iter().filter(|o| !o.figures.broken.is_empty()).count();
+            print(&format!("days with a broken rule: a {}, b {} of {pairs}\n", broken(0), broken(1)))?;
+            Ok(ExitCode::SUCCESS)
         }
-        Command::Cost { node: given, pairs } => {
-            let scenario = Scenario::parse(COST).map_err(|e| format!("cost: {e}"))?;
-            compare(&scenario, [program("baseline:pass")?, (node(given.as_deref())?, Vec::new())], *pairs)
+        Command::Load { address, rate, for_s, limit, connections, path, header, seed, json } => {
+            let field = |f: &String| {
+                let (name, value) = f.split_once(':').ok_or(format!("--header {f:?}: NAME: VALUE"))?;
+                Ok::<_, String>((name.trim().to_owned(), value.trim().to_owned()))
+            };
+            let load = Load {
+                address: *address,
+                path: path.clone(),
+                headers: header.iter().map(field).collect::<Result<_, _>>()?,
+                rate: *rate,
+                length: std::time::Duration::from_secs((*for_s).into()),
+                limit: std::time::Duration::from_millis(*limit),
+                connections: *connections,
+                seed: *seed,
+            };
+            load_for(load, json.as_deref())
         }
-        Command::Sweep { file, set, seeds, node: given } => {
+        Command::Cost { node: given, pairs } => cost(node(given.as_deref())?, *pairs),
+        Command::Sweep { file, set, seeds, node: given, report } => {
             let program = node(given.as_deref())?;
-            sweep(file, set, *seeds, &program)
+            sweep(file, set, *seeds, &program, report.as_deref())
         }
     }
 }
@@ -441,6 +517,23 @@
             r.stands, r.why, r.on_new, r.restarts
         );
     }
+    if let Some(r) = &o.figures.returns {
+        let [p50, p99, worst] = r.first_ms;
+        // Writing to a String cannot fail.
+        let _ = writeln!(
+            out,
+            "{} starts under load: first answer after {p50:.0}, {p99:.0}, {worst:.0} ms (p50, p99, worst), of which a \
+             bare start is {:.0}; none from {}; served {:.4} of their first 2 s, the others {:.4}",
+            r.times,
+            o.start_ms.unwrap_or(f64::NAN),
+            r.unanswered,
+            r.served,
+            r.others
+        );
+    }
+    if o.disk_bytes > 0 {
+        let _ = writeln!(out, "{} bytes written to disk", o.disk_bytes);
+    }
     for (name, ms) in &o.figures.recover_ms {
         let back = ms.map_or_else(|| "never".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
         // Writing to a String cannot fail.
@@ -449,15 +542,121 @@
     out
 }
 
+/// A scenario's file with some keys set to other values.
+fn with_sets(file: &Path, sets: &[String]) -> Result<Scenario, String> {
+    let named = |e: String| format!("{}: {e}", file.display());
+    if sets.is_empty() {
+        return Scenario::read(file).map_err(|e| named(e.to_string()));
+    }
+    let text = daleturn::files::read_text(file, 1 << 20).map_err(|e| named(e.to_string()))?;
+    let mut content: toml::Table = text.parse().map_err(|e| named(format!("{e}")))?;
+    for set in sets {
+        let (key, value) = set.split_once('=').ok_or_else(|| format!("{set:?} is not KEY=VALUE"))?;
+        put(&mut content, key, value)?;
+    }
+    Scenario::parse(&content.to_string()).map_err(|e| format!("with {}: {e}", sets.join(" ")))
+}
+
+/// Sets a key, by its path, to a value as TOML has it; what is none is a text.
+fn put(content: &mut toml::Table, key: &str, value: &str) -> Result<(), String> {
+    let parsed = format!("v = {value}").parse::<toml::Table>().ok().and_then(|mut t| t.remove("v"));
+    let parsed = parsed.unwrap_or_else(|| toml::Value::String(value.to_owned()));
+    let mut parts: Vec<&str> = key.split('.').collect();
+    let last = parts.pop().filter(|l| !l.is_empty()).ok_or("there is no key")?;
+    let mut at = content;
+    for part in parts {
+        let next = at.entry(part).or_insert_with(|| toml::Value::Table(toml::Table::new()));
+        at = next.as_table_mut().ok_or_else(|| format!("{part} is not a table"))?;
+    }
+    at.insert(last.to_owned(), parsed);
+    Ok(())
+}
+
+fn load_for(load: Load, json: Option<&Path>) -> Result<ExitCode, Failure> {
+    let terminal = std::io::stderr().is_terminal();
+    let view = |second: u64, told: &Loaded| {
+        if terminal {
+            eprint!("\r\x1b[K{second} s  due {}  p99 {:.1} ms", told.due, told.answer_ms[2]);
+        }
+    };
+    let told = with_stop(async |stop| load.run(stop, view).await)?.map_err(|e| e.to_string())?;
+    clear();
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&told).map_err(|e| e.to_string())?;
+        std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    let mut rows = vec![vec!["due".to_owned(), told.due.to_string()]];
+    rows.extend(told.status.iter().map(|(s, n)| vec![format!("status {s}"), n.to_string()]));
+    rows.extend(told.failed.iter().map(|(why, n)| vec![(*why).to_owned(), n.to_string()]));
+    for (what, times) in [("from due", &told.answer_ms), ("from sent", &told.sent_ms)] {
+        for (q, ms) in ["p50", "p90", "p99", "p99.9", "worst"].iter().zip(times) {
+            rows.push(vec![format!("{what} {q} ms"), format!("{ms:.3}")]);
+        }
+    }
+    rows.push(vec!["this load late p99 ms".to_owned(), format!("{:.3}", told.late_ms)]);
+    print(&table(&["figure", "value"], rows))?;
+    let answered: u64 = told.status.values().sum();
+    Ok(if answered == told.due { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+/// What the node costs beside a pass-through: CPU at one rate, the most that it passes on, what it adds to an answer at
+/// 70 % of that, memory of a connection that is open and idle.
+fn cost(program_path: PathBuf, pairs: u64) -> Result<ExitCode, Failure> {
+    let sides = [program("baseline:pass")?, (program_path, Vec::new())];
+    let day = |sets: &[(&str, String)]| -> Result<[Scenario; 2], String> {
+        let mut content: toml::Table = COST.parse().map_err(|e| format!("cost: {e}"))?;
+        for (key, value) in sets {
+            put(&mut content, key, value)?;
+        }
+        let day = Scenario::parse(&content.to_string()).map_err(|e| format!("cost: {e}"))?;
+        Ok([day.clone(), day])
+    };
+    let of = |days: &[Outcome], figure: &dyn Fn(&Outcome) -> f64| {
+        mean(&days.iter().map(figure).collect::<Vec<f64>>()).mean
+    };
+    print("CPU of a try, 1,500 requests a second:\n")?;
+    compare(&day(&[])?, sides.clone(), pairs)?;
+    print("\nThe most that is passed on, 64 clients in a closed loop:\n")?;
+    let closed = [("load.closed", "64".to_owned()), ("load.rate", "40000".to_owned())];
+    let days = compare(&day(&closed)?, sides.clone(), pairs)?;
+    let per_second = |o: &Outcome| o.figures.asked as f64 / 10.0;
+    let most = [of(&days[0], &per_second), of(&days[1], &per_second)];
+    let rate = 0.7 * most[0].min(most[1]);
+    print(&format!("a second: pass {:.0}, node {:.0}\n", most[0], most[1]))?;
+    print(&format!("\nAdded to an answer at 70 % of the lesser, {rate:.0} a second:\n"))?;
+    let days = compare(&day(&[("load.rate", format!("{rate:.0}"))])?, sides.clone(), pairs)?;
+    for (n, name) in ["p50", "p90", "p99", "p99.9"].iter().enumerate() {
+        let ms = |o: &Outcome| o.figures.answer_ms[n];
+        let added = 1000.0 * (of(&days[1], &ms) - of(&days[0], &ms));
+        print(&format!("{name}: {added:+.0} us\n"))?;
+    }
+    let memory = |o: &Outcome| o.memory_kb.first().copied().flatten().unwrap_or(0) as f64;
+    let idle = |n: usize| -> Result<[f64; 2], Failure> {
+        let few = [
+            ("load.idle", n.to_string()),
+            ("load.rate", "20".to_owned()),
+            ("seconds", "4".to_owned()),
+            ("fleet.sockets", "2048".to_owned()),
+        ];
+        let days = compare(&day(&few)?, sides.clone(), 1)?;
+        Ok([of(&days[0], &memory), of(&days[1], &memory)])
+    };
+    print("\nMemory of open connections, 20 requests a second:\n")?;
+    let (none, many) = (idle(0)?, idle(500)?);
+    let each = |side: usize| (many[side] - none[side]) / 500.0;
+    print(&format!("each: pass {:.1} kB, node {:.1} kB\n", each(0), each(1)))?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn compare(
-    scenario: &Scenario,
+    scenarios: &[Scenario; 2],
     sides: [(PathBuf, Vec<String>); 2],
     pairs: u64,
-) -> Result<ExitCode, Failure> {
+) -> Result<[Vec<Outcome>; 2], Failure> {
     let mut days: [Vec<Outcome>; 2] = [Vec::new(), Vec::new()];
     let played = with_stop(async |stop| {
         for pair in 0..pairs {
-            let seed = scenario.seed + pair;
+            let seed = scenarios[0].seed + pair;
             // Whoever goes first goes second in the next pair.
             let mut turns = [0, 1];
             if pair % 2 == 1 {
@@ -465,6 +664,7 @@
             }
             for side in turns {
                 let (program, args) = sides[side].clone();
+                let scenario = &scenarios[side];
                 let options = Options { node_args: args, ..options(program, &stop) };
                 let outcome = play(scenario, seed, &options, progress(scenario.seconds)).await?;
                 clear();
@@ -490,41 +690,27 @@
         ]
     });
     print(&table(&["figure", "a", "b", "b - a", "+- 95%", "shows"], rows.collect()))?;
-    let broken = |side: usize| days[side].iter().filter(|o| !o.figures.broken.is_empty()).count();
-    print(&format!("days with a broken rule: a {}, b {} of {pairs}\n", broken(0), broken(1)))?;
-    Ok(ExitCode::SUCCESS)
+    Ok(days)
 }
 
-fn sweep(file: &Path, set: &str, seeds: u64, program: &Path) -> Result<ExitCode, Failure> {
+fn sweep(
+    file: &Path,
+    set: &str,
+    seeds: u64,
+    program: &Path,
+    report: Option<&Path>,
+) -> Result<ExitCode, Failure> {
     let wrong = |why: &str| {
         eprintln!("daleturn: {why}");
         Ok(ExitCode::from(2))
     };
     let Some((key, values)) = set.split_once('=') else { return wrong("--set takes KEY=V1,V2,...") };
-    let text = match daleturn::files::read_text(file, 1 << 20) {
-        Ok(text) => text,
-        Err(e) => return wrong(&format!("{}: {e}", file.display())),
-    };
     let mut rows: Vec<Vec<String>> = Vec::new();
+    let mut curves: Vec<report::Curve> = Vec::new();
     for value in values.split(',') {
-        let mut content: toml::Table = match text.parse() {
-            Ok(content) => content,
-            Err(e) => return wrong(&format!("{}: {e}", file.display())),
-        };
-        let parsed = format!("v = {value}").parse::<toml::Table>().ok().and_then(|mut t| t.remove("v"));
-        let parsed = parsed.unwrap_or_else(|| toml::Value::String(value.to_owned()));
-        let mut parts: Vec<&str> = key.split('.').collect();
-        let Some(last) = parts.pop() else { return wrong("--set needs a key") };
-        let mut at = &mut content;
-        for part in parts {
-            let next = at.entry(part).or_insert_with(|| toml::Value::Table(toml::Table::new()));
-            let Some(table) = next.as_table_mut() else { return wrong(&format!("{part} is not a table")) };
-            at = table;
-        }
-        at.insert(last.to_owned(), parsed);
-        let scenario = match Scenario::parse(&content.to_string()) {
+        let scenario = match with_sets(file, &[format!("{key}={value}")]) {
             Ok(scenario) => scenario,
-            Err(e) => return wrong(&format!("with {key} = {value}: {e}")),
+            Err(e) => return wrong(&e),
         };
         let played = with_stop(async |stop| {
             let mut days = Vec::new();
@@ -539,8 +725,13 @@
         let days = played.map_err(|e| e.to_string())?;
         let names = figures(&days[0]);
         let mut row = vec![value.to_owned()];
+        if curves.is_empty() {
+            let curve = |n: &(&str, f64)| report::Curve { name: n.0.to_owned(), points: Vec::new() };
+            curves = names.iter().map(curve).collect();
+        }
         row.extend((0..names.len()).map(|n| {
             let m = mean(&days.iter().map(|o| figures(o)[n].1).collect::<Vec<f64>>());
+            curves[n].points.push((m.mean, m.half));
             if m.half.is_finite() {
                 format!("{:.3} +- {:.3}", m.mean, m.half)
             } else {
@@ -559,6 +750,11 @@
         }
         rows.push(row);
     }
+    if let Some(dir) = report {
+        let values: Vec<String> = values.split(',').map(str::to_owned).collect();
+        let title = format!("{} by {key}, {seeds} seeds each", file.display());
+        report::experiment(dir, &title, &values, &curves).map_err(|e| format!("{}: {e}", dir.display()))?;
+    }
     // A line for each figure, a column for each value: more figures than values.
     let heads: Vec<&str> = rows.iter().map(|r| r[0].as_str()).collect();
     let lines = (1..rows[0].len()).map(|n| rows.iter().map(|r| r[n].clone()).collect());
--- a/crates/lab/examples/wrong-node.rs
+++ b/crates/lab/examples/wrong-node.rs
@@ -46,7 +46,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, std::io::Error> {
     if request.uri().path() == "/up" {
-        return Ok(plain(StatusCode::OK));
+        let ready = wrong != "never-ready";
+        return Ok(plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }));
     }
     let (mut head, body) = request.into_parts();
     let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
@@ -101,6 +102,14 @@
         .filter_map(|t| t["endpoint"].as_str()?.parse().ok())
         .collect();
     let servers: &'static [SocketAddr] = servers.leak();
+    if wrong == "chatters" {
+        // Before it serves: whoever does not read that leaves it standing.
+        let line = [b'x'; 1000];
+        let mut out = std::io::stderr().lock();
+        for _ in 0..100_000 {
+            std::io::Write::write_all(&mut out, &line)?;
+        }
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async move {
         let listener = TcpListener::bind(config.listen).await?;
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -36,11 +36,14 @@
     RoundRobin,
     /// Of two by chance, the one with fewer of this node's requests in flight.
     Least,
+    /// None: clients know all servers and what each holds, and go there themselves. The process only says yes.
+    Direct,
 }
 
 impl Pick {
     /// All of them, by name.
-    pub const ALL: [(&'static str, Pick); 4] = [
+    pub const ALL: [(&'static str, Pick); 5] = [
+        ("direct", Pick::Direct),
         ("pass", Pick::Pass),
         ("random", Pick::Random),
         ("round-robin", Pick::RoundRobin),
@@ -79,7 +82,7 @@
         let all: Vec<SocketAddr> = self.servers.borrow().values().copied().collect();
         let flying = |at: &SocketAddr| self.in_flight.borrow().get(at).copied().unwrap_or(0);
         match self.pick {
-            Pick::Pass => all.first().copied(),
+            Pick::Pass | Pick::Direct => all.first().copied(),
             Pick::Random => all.get(self.draw(all.len())).copied(),
             Pick::RoundRobin => {
                 let turn = self.turn.get();
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -188,9 +188,29 @@
     datagram_bytes: u64,
     flows: Vec<Vec<u64>>,
     servers: Vec<u64>,
+    returns: Vec<Return>,
+    /// Attempts in each second, by server, for the first hour and the first servers.
+    server_series: Vec<Vec<u32>>,
     forgot: f64,
 }
 
+/// A node that started again under load.
+#[derive(Clone, Debug)]
+struct Return {
+    node: usize,
+    at: f64,
+    first_ms: Option<f64>,
+    /// Of the tries of its first two seconds: how many, and how many were served; here, and at the others meanwhile.
+    own: [u64; 2],
+    others: [u64; 2],
+}
+
+/// Servers' loads over time are kept for so many seconds, and so many servers.
+const SERIES_S: f64 = 3600.0;
+const SERIES_SERVERS: usize = 64;
+/// A node that has returned is watched for so long, in milliseconds.
+const RETURN_MS: f64 = 2000.0;
+
 fn histogram(most: u64) -> Histogram<u32> {
     // The bounds are constants that it takes.
     Histogram::new_with_bounds(1, most, 3).unwrap_or_else(|_| unreachable!("bounds"))
@@ -231,6 +251,11 @@
             datagram_bytes: 0,
             flows: vec![vec![0; zones]; zones],
             servers: vec![0; plan.machines.len()],
+            returns: Vec::new(),
+            server_series: vec![
+                vec![0; (plan.length_ms() / 1000.0).ceil().min(SERIES_S) as usize];
+                plan.machines.len().min(SERIES_SERVERS)
+            ],
             forgot: 0.0,
             plan: plan.clone(),
         }
@@ -251,6 +276,10 @@
 
     /// A client has something to ask.
     pub fn asked(&mut self, a: &Arrival) {
+        if a.wrong {
+            // It is owed an answer, and worth nothing.
+            return;
+        }
         let Some(class) = self.plan.scenario.class.get(a.class) else { return };
         let mut worth = class.worth * a.work_ms;
         let second = (a.at_ms / 1000.0) as u64;
@@ -371,6 +400,10 @@
         for (rule, what) in broken {
             self.breach(rule, now, what);
         }
+        let second = (now / 1000.0).max(0.0) as usize;
+        if let Some(count) = self.server_series.get_mut(server).and_then(|s| s.get_mut(second)) {
+            *count += 1;
+        }
         self.attempts += 1;
         self.crossings += u64::from(zone != node_zone);
         if let Some(n) = self.flows.get_mut(node_zone).and_then(|row| row.get_mut(zone)) {
@@ -396,10 +429,33 @@
         }
     }
 
+    /// A node starts again.
+    pub fn returns(&mut self, now: f64, node: usize) {
+        self.returns.push(Return { node, at: now, first_ms: None, own: [0; 2], others: [0; 2] });
+    }
+
+    /// The first correct answer of a node that started again, so long after its start.
+    pub fn first_answer(&mut self, node: usize, ms: f64) {
+        if let Some(r) = self.returns.iter_mut().rfind(|r| r.node == node) {
+            r.first_ms.get_or_insert(ms);
+        }
+    }
+
     /// A try has its final answer, or none.
     pub fn answered(&mut self, now: f64, id: u64, answer: Answer) {
         let Some(t) = self.tries.get_mut(&id).filter(|t| !t.answered) else { return };
         t.answered = true;
+        let (sent, at_node) = (t.from, t.node);
+        if !matches!(answer, Answer::Cut | Answer::Nowhere) {
+            // Older ones have their answers: a try lasts some seconds at most.
+            for r in self.returns.iter_mut().rev().take_while(|r| now - r.at < RETURN_MS + FORGET_MS) {
+                if (r.at..r.at + RETURN_MS).contains(&sent) {
+                    let counts = if r.node == at_node { &mut r.own } else { &mut r.others };
+                    counts[0] += 1;
+                    counts[1] += u64::from(answer == Answer::Served { genuine: true });
+                }
+            }
+        }
         let (arrival, wait, nowhere) = (t.arrival, t.deadline - t.from, t.sent.is_empty() && !t.vain);
         let (spent, node) = (now - t.from, t.node);
         let name = self.plan.scenario.class[t.class].name.clone();
@@ -608,6 +664,7 @@
             *broken.entry(Rule::Lost).or_default() += self.crossed;
         }
         Figures {
+            returns: self.returned(),
             held,
             worth,
             worth_less_crossings: worth - scenario.rules.cross_price * crossings,
@@ -631,6 +688,12 @@
             datagrams: self.datagrams,
             datagram_bytes: self.datagram_bytes,
             answer_ms: [0.5, 0.9, 0.99, 0.999].map(|q| ms(&self.answer, q)),
+            answer_curve: self
+                .answer
+                .iter_quantiles(4)
+                .map(|v| (v.quantile_iterated_to().min(0.9999), v.value_iterated_to() as f64 / 1000.0))
+                .collect(),
+            server_series: self.server_series.clone(),
             lateness_ms: ms(&self.lateness, 0.99),
             recover_ms: recover,
             servers: self.servers.clone(),
@@ -646,6 +709,25 @@
         }
     }
 
+    fn returned(&self) -> Option<Returns> {
+        let mut first: Vec<f64> = self.returns.iter().filter_map(|r| r.first_ms).collect();
+        first.sort_by(f64::total_cmp);
+        let at =
+            |q: f64| first.get(((first.len() as f64 * q) as usize).min(first.len().max(1) - 1)).copied();
+        let share = |of: &dyn Fn(&Return) -> [u64; 2]| {
+            let [asked, served] =
+                self.returns.iter().map(of).fold([0, 0], |s, r| [s[0] + r[0], s[1] + r[1]]);
+            if asked == 0 { 1.0 } else { served as f64 / asked as f64 }
+        };
+        (!self.returns.is_empty()).then(|| Returns {
+            times: self.returns.len(),
+            unanswered: self.returns.len() - first.len(),
+            first_ms: [0.5, 0.99, 1.0].map(|q| at(q).unwrap_or(f64::NAN)),
+            served: share(&|r| r.own),
+            others: share(&|r| r.others),
+        })
+    }
+
     /// What has been served and asked in the last `ms` before `now`, for a live view.
     pub fn lately(&self, now: f64, ms: f64) -> f64 {
         let bin = |at: f64| ((at / BIN_MS).max(0.0) as usize).min(self.bins.len());
@@ -655,6 +737,21 @@
     }
 }
 
+/// How nodes that started again under load fared.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Returns {
+    /// How often.
+    pub times: usize,
+    /// How many of those gave no correct answer before the day, or their life, was over.
+    pub unanswered: usize,
+    /// From the start of the process to the first correct answer, in milliseconds: p50, p99, worst.
+    pub first_ms: [f64; 3],
+    /// Part of the tries of its first two seconds that such a node served.
+    pub served: f64,
+    /// Part that the other nodes served meanwhile.
+    pub others: f64,
+}
+
 /// How a release stands.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Release {
@@ -707,6 +804,8 @@
     pub known_keys: f64,
     /// How the day's release stands at its end.
     pub release: Option<Release>,
+    /// How nodes fared that started again; none where none did.
+    pub returns: Option<Returns>,
     /// Probes of servers.
     pub probes: u64,
     /// Connections opened to servers.
@@ -717,6 +816,10 @@
     pub datagram_bytes: u64,
     /// Time from a try's last byte to its answer: p50, p90, p99, p99.9.
     pub answer_ms: [f64; 4],
+    /// Parts of the answers, and the time in milliseconds that no more than that part took.
+    pub answer_curve: Vec<(f64, f64)>,
+    /// Attempts in each second of the day, by server.
+    pub server_series: Vec<Vec<u32>>,
     /// How late the lab itself was, p99.
     pub lateness_ms: f64,
     /// After each trouble, the time from its end until service was back; none if it was not.
@@ -848,6 +951,7 @@
             hint_ms: None,
             honours: true,
             slow: false,
+            wrong: false,
         }
     }
 
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -76,6 +76,8 @@
     pub honours: bool,
     /// It writes slowly.
     pub slow: bool,
+    /// It asks for what no server takes.
+    pub wrong: bool,
 }
 
 /// What passes a link.
@@ -202,16 +204,7 @@
 
     /// Adds what a word names: servers or nodes by what the trouble meets, everything of a zone for a link.
     fn name(&self, word: &str, kind: Kind, draws: &mut ChaCha8Rng, ends: &mut Ends) {
-        let of_nodes = matches!(
-            kind,
-            Kind::NodeKill
-                | Kind::NodePowerLoss
-                | Kind::NodeFreeze
-                | Kind::NodeStop
-                | Kind::NodeUpgrade
-                | Kind::NodeReload
-                | Kind::NodeCall
-        );
+        let of_nodes = kind.of_nodes();
         let link = matches!(kind, Kind::LinkCut | Kind::LinkOneWay | Kind::LinkDelay);
         let (servers, nodes) = (self.machines.len(), self.node_zones.len());
         let zones = self.scenario.fleet.zones.len();
@@ -288,10 +281,9 @@
         self.faults.iter().filter(|f| more(f)).map(|f| f.size.max(1.0)).product()
     }
 
-    fn slow_part(&self, at_ms: f64) -> f64 {
-        let on = |f: &&Fault| {
-            f.kind == Kind::SlowClients && at_ms >= f.at_ms && f.until_ms.is_none_or(|u| at_ms < u)
-        };
+    /// Part of the clients that a trouble of theirs meets.
+    fn part(&self, kind: Kind, at_ms: f64) -> f64 {
+        let on = |f: &&Fault| f.kind == kind && at_ms >= f.at_ms && f.until_ms.is_none_or(|u| at_ms < u);
         self.faults.iter().filter(on).map(|f| f.size).fold(0.0, f64::max)
     }
 
@@ -352,11 +344,14 @@
             let hinted = self.rng.random::<f64>() < s.load.hints;
             let rough = 0.7 + 0.6 * self.rng.random::<f64>();
             let honours = self.rng.random::<f64>() < s.load.honour;
-            let slow = self.rng.random::<f64>() < self.plan.slow_part(self.at_ms);
+            let slow = self.rng.random::<f64>() < self.plan.part(Kind::SlowClients, self.at_ms);
             let kept = self.rng.random::<f64>() < self.plan.factor(self.at_ms, zone, tenant) / most;
             if !kept {
                 continue;
             }
+            // No draw where there are none: the days of before stay as they are.
+            let wrong = self.plan.part(Kind::WrongRequests, self.at_ms);
+            let wrong = wrong > 0.0 && self.rng.random::<f64>() < wrong;
             self.number += 1;
             let hint_ms = hinted.then_some(work_ms * rough);
             let at_ms = self.at_ms;
@@ -372,6 +367,7 @@
                 hint_ms,
                 honours,
                 slow,
+                wrong,
             });
         }
     }
--- a/crates/lab/src/real/clients.rs
+++ b/crates/lab/src/real/clients.rs
@@ -11,6 +11,7 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::collections::HashMap;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -30,6 +31,8 @@
 const REQUEST_BYTES: usize = 400;
 /// A try with less time than this is not made, in milliseconds.
 const LEAST_MS: f64 = 5.0;
+/// A node that has started is asked for its first answer for so long.
+const FIRST_WITHIN: Duration = Duration::from_secs(10);
 
 /// A stream that may be slow to write.
 struct Paced {
@@ -91,6 +94,8 @@
     pub ways: Vec<Vec<Way>>,
     ready: Vec<AtomicBool>,
     turn: AtomicUsize,
+    /// Connections that clients keep to servers, where no node is between them: by the node that they pass by.
+    direct: Mutex<HashMap<(usize, usize), Vec<Conn>>>,
 }
 
 impl Clients {
@@ -101,6 +106,7 @@
             ways: (0..zones).map(|_| (0..nodes).map(way).collect()).collect(),
             ready: (0..nodes).map(|_| AtomicBool::new(false)).collect(),
             turn: AtomicUsize::new(0),
+            direct: Mutex::default(),
         }
     }
 
@@ -185,7 +191,24 @@
         Some(sender)
     }
 
-    fn kept(&self, zone: usize, node: usize) -> Option<Conn> {
+    /// The server that holds least for its speed, as only the lab knows: the client goes there by itself.
+    async fn open_direct(world: &World, node: usize, server: usize) -> Option<Conn> {
+        let stream = TcpStream::connect(world.host(server)?.address(node)?).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move {
+            // Its end is seen by whoever sends.
+            let _ = connection.await;
+        });
+        Some(sender)
+    }
+
+    fn kept(&self, zone: usize, node: usize, server: Option<usize>) -> Option<Conn> {
+        if let Some(server) = server {
+            let mut direct = lock(&self.direct);
+            let idle = direct.get_mut(&(node, server))?;
+            return std::iter::from_fn(|| idle.pop()).find(|c| c.is_ready() && !c.is_closed());
+        }
         let mut idle = lock(&self.ways.get(zone)?.get(node)?.idle);
         while let Some(conn) = idle.pop() {
             if conn.is_ready() && !conn.is_closed() {
@@ -195,8 +218,10 @@
         None
     }
 
-    fn keep(&self, zone: usize, node: usize, conn: Conn) {
-        if let Some(way) = self.ways.get(zone).and_then(|w| w.get(node))
+    fn keep(&self, zone: usize, node: usize, server: Option<usize>, conn: Conn) {
+        if let Some(server) = server {
+            lock(&self.direct).entry((node, server)).or_default().push(conn);
+        } else if let Some(way) = self.ways.get(zone).and_then(|w| w.get(node))
             && !conn.is_closed()
         {
             lock(&way.idle).push(conn);
@@ -221,6 +246,7 @@
                 Some(node) => {
                     let tried = Try { world: &world, arrival: &arrival, number, node, wait };
                     match tried.make().await {
+                        _ if arrival.wrong => return,
                         Tried::Served => return,
                         Tried::Refused(after) => after,
                         Tried::Else => None,
@@ -242,6 +268,54 @@
     }
 }
 
+impl Clients {
+    /// Opens connections to a node that carry nothing beyond one question, for as long as the day lasts.
+    pub async fn idle(world: Arc<World>, node: usize) {
+        let zone = world.plan.node_zones.get(node).copied().unwrap_or(0);
+        let mut open = Vec::new();
+        for _ in 0..world.plan.scenario.load.idle {
+            let Some(mut conn) = world.clients.open(&world, zone, node, false).await else { continue };
+            if let Ok(request) = Request::get("/up").header("host", "front").body(Full::default())
+                && let Ok(response) = conn.send_request(request).await
+            {
+                let _ = response.into_body().collect().await;
+            }
+            open.push(conn);
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Asks a node that has just been started, again and again, until it has served: how long that took.
+    pub async fn first_answer(world: Arc<World>, node: usize, started: std::time::Instant) {
+        let Some(template) = world.plan.arrivals().find(|a| {
+            !a.wrong && world.plan.scenario.class.get(a.class).is_some_and(|c| c.repeat == Repeat::Safe)
+        }) else {
+            return;
+        };
+        let zone = world.plan.node_zones.get(node).copied().unwrap_or(0);
+        static ASKED: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(1 << 40);
+        while started.elapsed() < FIRST_WITHIN && !world.ending() {
+            let number = ASKED.fetch_add(1, Ordering::Relaxed);
+            let arrival =
+                Arrival { number, at_ms: world.now(), zone, work_ms: 1.0, slow: false, ..template };
+            let listens = world.nodes.get(node).map(|n| n.listen);
+            let up = match listens {
+                Some(at) => TcpStream::connect(at).await.is_ok(),
+                None => false,
+            };
+            if up {
+                let tried = Try { world: &world, arrival: &arrival, number: 0, node, wait: 500.0 };
+                if matches!(tried.make().await, Tried::Served) {
+                    let took = started.elapsed().as_secs_f64() * 1000.0;
+                    lock(&world.judge).first_answer(node, took);
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
+
 /// What a client makes of a try.
 enum Tried {
     Served,
@@ -266,7 +340,7 @@
             .uri("/api")
             .header("host", "api.internal")
             .header("x-trace-id", format!("{id:016x}"))
-            .header("x-qos", &class.name)
+            .header("x-qos", if a.wrong { format!("{}-old", class.name) } else { class.name.clone() })
             .header("x-customer", &s.tenant.get(a.tenant)?.name)
             .header("x-object", format!("k{:06x}", a.key))
             .header("x-expires-in-ms", format!("{:.0}", self.wait.floor()));
@@ -297,7 +371,10 @@
         let sent = world.now();
         let (answer, retry_after) = self.exchange(id, slow_ms).await;
         let excused = world.nodes.get(node).is_some_and(|n| {
-            n.excused.load(Ordering::SeqCst) || sent <= n.woke_ms.load(Ordering::SeqCst) as f64
+            // Nobody stands between a client and a server that could owe it an answer.
+            world.direct
+                || n.excused.load(Ordering::SeqCst)
+                || sent <= n.woke_ms.load(Ordering::SeqCst) as f64
         });
         let passing = world.clients.ways[self.arrival.zone][node].link.passing();
         let cut = excused || !passing.there || !passing.back || world.ending();
@@ -332,13 +409,19 @@
         let (world, node, zone) = (self.world, self.node, self.arrival.zone);
         let limit = Duration::from_secs_f64((self.wait + slow_ms + ANSWER_SLACK_MS) / 1000.0);
         let end = tokio::time::Instant::now() + limit;
-        let mut kept = if self.arrival.slow { None } else { world.clients.kept(zone, node) };
+        let server = if world.direct { world.least_loaded() } else { None };
+        let mut kept = if self.arrival.slow { None } else { world.clients.kept(zone, node, server) };
         loop {
             let fresh = kept.is_none();
             let mut conn = match kept.take() {
                 Some(conn) => conn,
                 None => {
-                    let open = world.clients.open(world, zone, node, self.arrival.slow);
+                    let open = async {
+                        match server {
+                            Some(server) => Clients::open_direct(world, node, server).await,
+                            None => world.clients.open(world, zone, node, self.arrival.slow).await,
+                        }
+                    };
                     match tokio::time::timeout_at(end, open).await {
                         Ok(Some(conn)) => conn,
                         _ => return (Answer::Nowhere, None),
@@ -367,9 +450,13 @@
                 Ok(Err(_)) => return (Answer::Lost, None),
                 Ok(Ok(response)) => {
                     if !self.arrival.slow {
-                        world.clients.keep(zone, node, conn);
+                        world.clients.keep(zone, node, server, conn);
                     }
-                    return read(&response, id);
+                    return match read(&response, id) {
+                        // No node is there that could say when to come back.
+                        (Answer::Refused { .. }, _) if world.direct => (Answer::Failed, None),
+                        read => read,
+                    };
                 }
             }
         }
--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -14,6 +14,7 @@
 use crate::plan::{Arrival, Ends, Fault, Passing, Plan, mix, passing, unit};
 use crate::scenario::{Kind, Scenario};
 use clients::Clients;
+use daleturn_store::rehearse::Orders;
 use discovery::Discovery;
 use links::{Link, lock};
 use nodes::{Node, Nodes};
@@ -31,8 +32,8 @@
 use timer::Timer;
 use tokio::sync::watch;
 
-/// Nodes must be ready within this.
-const READY: Duration = Duration::from_secs(30);
+/// Nodes must be ready within this, usually.
+pub const READY: Duration = Duration::from_secs(30);
 /// After the last arrival, what is still open has its time and this.
 const LAST: Duration = Duration::from_millis(1200);
 /// How often it is looked whether a node has ended by itself.
@@ -57,6 +58,8 @@
     pub next: Option<PathBuf>,
     /// Where the nodes' logs go.
     pub logs: Option<PathBuf>,
+    /// Time for all nodes to get ready.
+    pub ready: Duration,
     /// What to end the day on.
     pub stop: watch::Receiver<bool>,
 }
@@ -68,10 +71,12 @@
     #[error("{0}")]
     System(#[from] io::Error),
     /// A node is not ready in time.
-    #[error("node {node} did not get ready within {} s{}", READY.as_secs(), .why.as_ref().map_or(String::new(), |w| format!(": {w}")))]
+    #[error("node {node} did not get ready within {} s{}", within.as_secs_f64(), .why.as_ref().map_or(String::new(), |w| format!(": {w}")))]
     Ready {
         /// Which.
         node: usize,
+        /// The time that it had.
+        within: Duration,
         /// What became of it.
         why: Option<String>,
     },
@@ -95,6 +100,10 @@
     pub cpu_us: f64,
     /// Memory of each node at the end, in kB.
     pub memory_kb: Vec<Option<u64>>,
+    /// What the start of a process costs by itself, in milliseconds, where nodes returned: `first_ms` has that in it.
+    pub start_ms: Option<f64>,
+    /// Bytes that nodes wrote to disk in all, their logs apart, where they keep state.
+    pub disk_bytes: u64,
 }
 
 impl Outcome {
@@ -154,6 +163,8 @@
     pub clients: Clients,
     /// Arguments of a node's program.
     pub node_args: Vec<String>,
+    /// Clients go to servers by themselves.
+    direct: bool,
     sent: Mutex<Sent>,
     repeats: Mutex<HashMap<(usize, String), f64>>,
     draws: AtomicU64,
@@ -200,6 +211,20 @@
         self.hosts.get(server)
     }
 
+    /// The server that holds least for what it can do, of those that are up.
+    fn least_loaded(&self) -> Option<usize> {
+        let load = |n: &usize| {
+            let speed = self.plan.machines.get(*n).map_or(1.0, |m| m.speed);
+            let mut held = f64::INFINITY;
+            if let Some(host) = self.host(*n).filter(|h| h.up()) {
+                host.model(|m| held = (m.held() as f64 + self.draw()) / speed);
+            }
+            held
+        };
+        let loads = (0..self.hosts.len()).map(|n| (n, load(&n)));
+        loads.filter(|l| l.1.is_finite()).min_by(|a, b| a.1.total_cmp(&b.1)).map(|l| l.0)
+    }
+
     fn discovery(&self) -> Option<&Arc<Discovery>> {
         self.discovery.get()
     }
@@ -208,6 +233,11 @@
         self.peers.get().and_then(|p| p.addresses(node))
     }
 
+    /// Whether disks of this day fail or lose power: then nodes are told to rehearse that.
+    fn rehearses(&self) -> bool {
+        self.plan.faults.iter().any(|f| f.kind == Kind::NodePowerLoss || f.kind.of_disks())
+    }
+
     /// The id of a client's try.
     fn try_id(&self, arrival: &Arrival, number: u32) -> u64 {
         mix(self.plan.seed ^ mix((arrival.number << 8) | (u64::from(number) + 1)))
@@ -305,6 +335,7 @@
         releases: Releases::new(scratch.0.join("releases"), command()),
         nodes,
         node_args: options.node_args.clone(),
+        direct: options.node_args == ["baseline", "direct"],
         sent: Mutex::default(),
         repeats: Mutex::default(),
         draws: AtomicU64::new(0),
@@ -339,6 +370,7 @@
     }
     played?;
     let memory_kb = world.nodes.iter().map(|n| n.memory_kb()).collect();
+    let disk_bytes = world.nodes.iter().map(|n| n.written_bytes()).sum();
     let ends = world.nodes.iter().map(|node| {
         let node = node.clone();
         tokio::spawn(async move {
@@ -375,8 +407,13 @@
         seed,
         verdict: figures.verdict(&scenario.expect),
         cpu_us: cpu as f64 / 1000.0 / tries.max(1.0),
+        start_ms: match (&figures.returns, world.nodes.first()) {
+            (Some(_), Some(node)) => node.bare_start_ms().await,
+            _ => None,
+        },
         figures,
         memory_kb,
+        disk_bytes,
     })
 }
 
@@ -385,11 +422,11 @@
     options: &Options,
     view: &mut impl FnMut(&Moment),
 ) -> Result<(), PlayError> {
-    let end = Instant::now() + READY;
+    let end = Instant::now() + options.ready;
     while let Some(node) = world.nodes.iter().find(|n| !world.clients.ready(n.number)) {
         let why = world.nodes.iter().find_map(|n| n.crashed());
         if why.is_some() || Instant::now() > end {
-            return Err(PlayError::Ready { node: node.number, why });
+            return Err(PlayError::Ready { node: node.number, within: options.ready, why });
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
@@ -400,11 +437,21 @@
     for fault in world.plan.faults.clone() {
         tokio::spawn(troubles.clone().meet(fault));
     }
+    for node in world.nodes.iter().filter(|_| world.plan.scenario.load.idle > 0) {
+        tokio::spawn(Clients::idle(world.clone(), node.number));
+    }
     let arrivals = {
         let world = world.clone();
         tokio::spawn(async move {
             let mut open = tokio::task::JoinSet::new();
             let plan = world.plan.clone();
+            for client in 0..plan.scenario.load.closed {
+                open.spawn(closed(world.clone(), client));
+            }
+            if plan.scenario.load.closed > 0 {
+                while open.join_next().await.is_some() {}
+                return;
+            }
             for arrival in plan.arrivals() {
                 world.until(arrival.at_ms).await;
                 let late = world.now() - arrival.at_ms;
@@ -439,6 +486,19 @@
     }
 }
 
+/// One client of a closed loop, to the day's end.
+async fn closed(world: Arc<World>, client: usize) {
+    let plan = world.plan.clone();
+    let clients = plan.scenario.load.closed;
+    for arrival in plan.arrivals().skip(client).step_by(clients) {
+        let now = world.now();
+        if now >= plan.length_ms() || world.ending() {
+            return;
+        }
+        Clients::come(world.clone(), Arrival { at_ms: now.max(0.0), ..arrival }).await;
+    }
+}
+
 fn moment(world: &World, troubles: &Troubles) -> Moment {
     let now = world.now();
     let active = lock(&troubles.active).clone();
@@ -475,7 +535,7 @@
         self.world.until(fault.at_ms).await;
         lock(&self.active).insert(fault.number);
         let day = self.world.plan.length_ms();
-        let until = fault.until_ms.unwrap_or(if lasts(fault.kind) { day } else { fault.at_ms });
+        let until = until(&self.world, &fault);
         lock(&self.world.judge).trouble(fault.kind, fault.number, fault.at_ms, until.min(day));
         self.apply();
         self.begin(&fault).await;
@@ -544,6 +604,27 @@
                 way.link.set(passing(&faults, node, &|e: &Ends| e.clients.contains(&zone)));
             }
         }
+        if world.rehearses() {
+            for (n, node) in world.nodes.iter().enumerate() {
+                let here = || faults.iter().filter(|f| f.on.nodes.contains(&n));
+                let is = |kind: Kind| here().any(|f| f.kind == kind);
+                let slow = here().filter(|f| f.kind == Kind::DiskSlow).map(|f| f.size).fold(0.0, f64::max);
+                let orders = Orders {
+                    sync_ms: slow.max(0.0) as u64,
+                    full: is(Kind::DiskFull),
+                    broken: is(Kind::DiskBroken),
+                    read_only: is(Kind::DiskReadOnly),
+                };
+                if let Err(e) = node.disk(orders) {
+                    let now = world.now();
+                    lock(&world.judge).breach(
+                        Rule::Crash,
+                        now,
+                        format!("orders to the disk of node {n}: {e}"),
+                    );
+                }
+            }
+        }
         if let Some(peers) = world.peers.get() {
             let mut cut = std::collections::HashSet::new();
             for i in 0..world.nodes.len() {
@@ -617,11 +698,23 @@
         for &n in &fault.on.nodes {
             let Some(node) = world.nodes.get(n).cloned() else { continue };
             let done = match fault.kind {
-                Kind::NodeKill | Kind::NodePowerLoss => {
+                Kind::NodeKill => {
                     node.excuse(true);
                     node.kill().await;
                     Ok(())
                 }
+                Kind::NodePowerLoss => {
+                    node.excuse(true);
+                    node.kill().await;
+                    let mut draws = 0_u64;
+                    let of = mix(fault.number as u64 ^ ((n as u64) << 32));
+                    let draw = |most: usize| {
+                        draws += 1;
+                        (world.luck(of.wrapping_add(draws)) * most as f64) as usize
+                    };
+                    node.lose_power(draw)
+                        .map_err(|e| format!("the disk of node {n} after its power loss: {e}"))
+                }
                 Kind::NodeFreeze => {
                     node.excuse(true);
                     node.freeze(true);
@@ -643,6 +736,9 @@
                 lock(&world.judge).breach(Rule::Crash, now, why);
             }
         }
+        if fault.kind == Kind::NodeCrashes {
+            tokio::spawn(crashes(world.clone(), fault.clone(), until(world, fault)));
+        }
         let release = match fault.kind {
             Kind::Release => world.releases.start(world).map_err(|e| e.to_string()),
             Kind::ReleaseKill => {
@@ -732,14 +828,7 @@
         for &n in &fault.on.nodes {
             let Some(node) = world.nodes.get(n) else { continue };
             match fault.kind {
-                Kind::NodeKill | Kind::NodePowerLoss | Kind::NodeStop => {
-                    lock(&world.judge).forgets(n);
-                    if let Err(e) = node.start(world) {
-                        let now = world.now();
-                        lock(&world.judge).breach(Rule::Crash, now, format!("node {n} cannot start: {e}"));
-                    }
-                    node.excuse(false);
-                }
+                Kind::NodeKill | Kind::NodePowerLoss | Kind::NodeStop => again(world, node),
                 Kind::NodeFreeze => {
                     node.freeze(false);
                     node.woke_ms.store(world.now().max(0.0).ceil() as u64, Ordering::SeqCst);
@@ -751,6 +840,47 @@
     }
 }
 
+/// Starts a node again and watches its return.
+fn again(world: &Arc<World>, node: &Arc<Node>) {
+    let (n, now) = (node.number, world.now());
+    {
+        let mut judge = lock(&world.judge);
+        judge.forgets(n);
+        judge.returns(now, n);
+    }
+    let started = Instant::now();
+    match node.start(world) {
+        Ok(_) => drop(tokio::spawn(Clients::first_answer(world.clone(), n, started))),
+        Err(e) => lock(&world.judge).breach(Rule::Crash, now, format!("node {n} cannot start: {e}")),
+    }
+    // What was out when it died may be told to its client only now.
+    node.woke_ms.store(now.max(0.0).ceil() as u64, Ordering::SeqCst);
+    node.excuse(false);
+}
+
+/// When a trouble is over.
+fn until(world: &World, fault: &Fault) -> f64 {
+    let day = world.plan.length_ms();
+    fault.until_ms.unwrap_or(if lasts(fault.kind) { day } else { fault.at_ms })
+}
+
+/// Kills one node after the other, each at a drawn moment of its part of the time, and starts it again at once.
+async fn crashes(world: Arc<World>, fault: Fault, until: f64) {
+    let times = fault.size.max(0.0) as usize;
+    let step = (until - fault.at_ms) / times.max(1) as f64;
+    for n in 0..times {
+        let draw = world.luck(mix(fault.number as u64) ^ n as u64);
+        world.until(fault.at_ms + step * (n as f64 + draw)).await;
+        if world.ending() || fault.on.nodes.is_empty() {
+            return;
+        }
+        let Some(node) = world.nodes.get(fault.on.nodes[n % fault.on.nodes.len()]) else { continue };
+        node.excuse(true);
+        node.kill().await;
+        again(&world, node);
+    }
+}
+
 /// Whether a trouble without a length lasts to the day's end.
 fn lasts(kind: Kind) -> bool {
     !matches!(
--- a/crates/lab/src/real/nodes.rs
+++ b/crates/lab/src/real/nodes.rs
@@ -4,6 +4,7 @@
 use super::links::{lock, own_ip};
 use crate::settings::settings;
 use daleturn::calls::{Call, ask};
+use daleturn_store::rehearse::{Orders, after_power_loss, order};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use std::io;
@@ -97,6 +98,27 @@
         self.dir.join("state")
     }
 
+    /// Where its disk is rehearsed with.
+    fn rehearsal(&self) -> PathBuf {
+        self.dir.join("rehearsal")
+    }
+
+    /// What is wrong with its disk from here on.
+    ///
+    /// # Errors
+    /// The orders cannot be written.
+    pub fn disk(&self, orders: Orders) -> io::Result<()> {
+        order(&self.rehearsal(), orders)
+    }
+
+    /// Its disk as a power loss may leave it; its processes are gone.
+    ///
+    /// # Errors
+    /// The files cannot be read or written.
+    pub fn lose_power(&self, draw: impl FnMut(usize) -> usize) -> io::Result<()> {
+        after_power_loss(&self.state_dir(), &self.rehearsal(), draw)
+    }
+
     /// Writes its files as of now.
     ///
     /// # Errors
@@ -108,6 +130,10 @@
         if let Some(toml::Value::Table(state)) = product.get_mut("state") {
             let dir = self.state_dir().to_string_lossy().into_owned();
             state.insert("dir".to_owned(), toml::Value::String(dir));
+            if world.rehearses() {
+                let place = self.rehearsal().to_string_lossy().into_owned();
+                state.insert("rehearse".to_owned(), toml::Value::String(place));
+            }
         }
         std::fs::write(self.dir.join("daleturn.toml"), product.to_string())
     }
@@ -126,6 +152,24 @@
         })
     }
 
+    /// What the start of a process costs that does nothing, in milliseconds: its program asked for its version.
+    pub async fn bare_start_ms(&self) -> Option<f64> {
+        let program = lock(&self.program).clone();
+        let mut least = None;
+        for _ in 0..5 {
+            let begun = std::time::Instant::now();
+            let mut command = Command::new("/bin/sh");
+            command.args(["-c", "ulimit -n 512; exec \"$0\" \"$@\""]).arg(&program).arg("--version");
+            let ended =
+                command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+            if ended.status().await.is_ok() {
+                let ms = begun.elapsed().as_secs_f64() * 1000.0;
+                least = Some(least.map_or(ms, |l: f64| l.min(ms)));
+            }
+        }
+        least
+    }
+
     /// Starts a process, beside another one if there is one.
     ///
     /// # Errors
@@ -284,6 +328,16 @@
         *lock(&self.spent_ns) + processes.iter().map(|p| p.cpu_ns).sum::<u64>()
     }
 
+    /// Bytes that its newest process has handed to the system to be written to files, as the system counts them.
+    pub fn written_bytes(&self) -> u64 {
+        let read = || {
+            let pid = lock(&self.processes).last()?.child.id()?;
+            let io = std::fs::read_to_string(format!("/proc/{pid}/io")).ok()?;
+            io.lines().find_map(|l| l.strip_prefix("write_bytes:"))?.trim().parse().ok()
+        };
+        read().unwrap_or(0)
+    }
+
     /// Memory that its newest process holds, in kB.
     pub fn memory_kb(&self) -> Option<u64> {
         let pid = lock(&self.processes).last()?.child.id()?;
--- a/crates/lab/src/real/servers.rs
+++ b/crates/lab/src/real/servers.rs
@@ -126,6 +126,11 @@
         lock(&self.gates).get(node).map(|g| g.address)
     }
 
+    /// Its process runs.
+    pub fn up(&self) -> bool {
+        self.up.load(Ordering::SeqCst)
+    }
+
     /// The link to a node.
     pub fn link(&self, node: usize) -> Option<&Arc<Link>> {
         self.links.get(node)
@@ -310,6 +315,10 @@
         if wrong.silent {
             std::future::pending::<()>().await;
         }
+        if arrival.wrong {
+            world.way(node, self.number, &self.links).await;
+            return Ok(answer(StatusCode::BAD_REQUEST, "no such class".to_owned()));
+        }
         if luck < wrong.errors {
             world.way(node, self.number, &self.links).await;
             return Ok(answer(StatusCode::INTERNAL_SERVER_ERROR, "error".to_owned()));
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -90,6 +90,98 @@
     })
 }
 
+/// Time to an answer against the part of the answers that took no longer, up to the last in a thousand.
+fn percentiles(f: &Figures) -> PlotResult {
+    plot(|area| {
+        let most = f.answer_curve.last().map_or(1.0, |p| p.1).max(0.1);
+        // Nines are spread evenly: 1 is nine in ten, 2 is 99 in 100.
+        let nines = |q: f64| -(1.0 - q).max(1e-6).log10();
+        let end = f.answer_curve.last().map_or(3.0, |p| nines(p.0)).max(0.5);
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .caption(
+                "answer in ms, by nines of the answers (1: 90 %, 2: 99 %, 3: 99.9 %)",
+                ("sans-serif", 14),
+            )
+            .x_label_area_size(24)
+            .y_label_area_size(50)
+            .build_cartesian_2d(0.0..end, 0.0..most * 1.05)?;
+        chart.configure_mesh().draw()?;
+        chart.draw_series(LineSeries::new(f.answer_curve.iter().map(|(q, ms)| (nines(*q), *ms)), &BLUE))?;
+        Ok(())
+    })
+}
+
+/// Attempts a second at each server over time.
+fn load(f: &Figures) -> PlotResult {
+    plot(|area| {
+        let most = f.server_series.iter().flatten().copied().max().unwrap_or(0).max(1);
+        let end = f.server_series.iter().map(Vec::len).max().unwrap_or(0).max(1) as f64;
+        let mut chart = ChartBuilder::on(area)
+            .margin(8)
+            .caption("attempts a second at each server", ("sans-serif", 14))
+            .x_label_area_size(24)
+            .y_label_area_size(50)
+            .build_cartesian_2d(0.0..end, 0.0..f64::from(most) * 1.05)?;
+        chart.configure_mesh().x_desc("s").draw()?;
+        for (n, series) in f.server_series.iter().enumerate() {
+            let line = series.iter().enumerate().map(|(s, v)| (s as f64 + 0.5, f64::from(*v)));
+            chart.draw_series(LineSeries::new(line, &Palette99::pick(n)))?;
+        }
+        Ok(())
+    })
+}
+
+/// A figure of an experiment: its mean and interval at each value.
+pub struct Curve {
+    /// The figure's name.
+    pub name: String,
+    /// By value: mean, and half the width of its interval, which may be infinite.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Writes an experiment as one page, `index.html`, into a directory: a plot for each figure over the values.
+///
+/// # Errors
+/// It cannot be written.
+pub fn experiment(dir: &Path, title: &str, values: &[String], curves: &[Curve]) -> io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    let mut out =
+        format!("<!doctype html><meta charset=\"utf-8\"><title>{0}</title>\n<h1>{0}</h1>\n", escape(title));
+    for curve in curves {
+        let drawn = plot(|area| {
+            let low = curve.points.iter().map(|(m, h)| m - if h.is_finite() { *h } else { 0.0 });
+            let high = curve.points.iter().map(|(m, h)| m + if h.is_finite() { *h } else { 0.0 });
+            let (low, high) = (low.fold(f64::INFINITY, f64::min), high.fold(f64::NEG_INFINITY, f64::max));
+            let room = ((high - low) * 0.1).max(high.abs() * 0.01).max(1e-6);
+            let mut chart = ChartBuilder::on(area)
+                .margin(8)
+                .caption(&curve.name, ("sans-serif", 14))
+                .x_label_area_size(24)
+                .y_label_area_size(60)
+                .build_cartesian_2d(-0.5..values.len() as f64 - 0.5, low - room..high + room)?;
+            let label = |x: &f64| {
+                let near = (x - x.round()).abs() < 0.01 && *x > -0.5;
+                values.get(x.round().max(0.0) as usize).filter(|_| near).cloned().unwrap_or_default()
+            };
+            chart.configure_mesh().x_labels(2 * values.len() + 1).x_label_formatter(&label).draw()?;
+            let at = |(n, (m, _)): (usize, &(f64, f64))| (n as f64, *m);
+            chart.draw_series(LineSeries::new(curve.points.iter().enumerate().map(at), &BLUE))?;
+            let bars = curve.points.iter().enumerate().filter(|(_, (_, h))| h.is_finite());
+            chart.draw_series(
+                bars.map(|(n, (m, h))| PathElement::new([(n as f64, m - h), (n as f64, m + h)], BLUE)),
+            )?;
+            Ok(())
+        });
+        match drawn {
+            Ok(svg) => out.push_str(&svg),
+            Err(e) => out.push_str(&format!("<p>no plot: {}</p>", escape(&e.to_string()))),
+        }
+        out.push('\n');
+    }
+    std::fs::write(dir.join("index.html"), out)
+}
+
 fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
@@ -114,7 +206,7 @@
         escape(&plan.scenario.about),
         escape(&outcome.line())
     );
-    for plot in [served(f), servers(f)] {
+    for plot in [served(f), percentiles(f), load(f), servers(f)] {
         match plot {
             Ok(svg) => out.push_str(&svg),
             Err(e) => out.push_str(&format!("<p>no plot: {}</p>", escape(&e.to_string()))),
@@ -138,6 +230,12 @@
         ("node CPU us a try".to_owned(), format!("{:.0}", outcome.cpu_us)),
         ("node memory kB".to_owned(), format!("{:?}", outcome.memory_kb)),
     ];
+    if let Some(r) = &f.returns {
+        let value = format!("{} times, first answer ms p50, p99, worst {:?}", r.times, r.first_ms);
+        figures.push(("nodes that returned".to_owned(), value));
+        let value = format!("{:.4}, others meanwhile {:.4}", r.served, r.others);
+        figures.push(("served of their first 2 s".to_owned(), value));
+    }
     figures.extend(f.classes.iter().map(|(n, v)| (format!("class {n}"), format!("{v:.4}"))));
     figures.extend(f.tenants.iter().map(|(n, v)| (format!("tenant {n}"), format!("{v:.4}"))));
     let back =
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -96,6 +96,8 @@
     pub memory_mb: u64,
     /// Pins each node to a core, in turns.
     pub pin: bool,
+    /// In virtual time, where nodes keep state: what a node finds at its start was written so long before its death.
+    pub store_old_s: f64,
 }
 
 impl Default for Fleet {
@@ -123,6 +125,7 @@
             sockets: 512,
             memory_mb: 192,
             pin: false,
+            store_old_s: 0.0,
         }
     }
 }
@@ -155,6 +158,11 @@
     pub try_share: f64,
     /// Part of the requests that come with a hint of their cost.
     pub hints: f64,
+    /// Above 0 clients come as a closed loop of so many, each asking anew once it was answered: to find the most that
+    /// is served. `rate` then only draws what they ask for.
+    pub closed: usize,
+    /// Connections to each node that are opened at the beginning and carry nothing.
+    pub idle: usize,
 }
 
 impl Default for Load {
@@ -172,6 +180,8 @@
             honour: 0.9,
             try_share: 0.8,
             hints: 0.8,
+            closed: 0,
+            idle: 0,
         }
     }
 }
@@ -472,6 +482,16 @@
     NodeKill,
     /// Nodes: SIGKILL, and their disks as a power loss leaves them; they start again after `for_s`.
     NodePowerLoss,
+    /// Nodes: SIGKILL `size` times within `for_s` at drawn moments, one node after the other, started again at once.
+    NodeCrashes,
+    /// Nodes' disks: each sync takes `size` ms longer.
+    DiskSlow,
+    /// Nodes' disks: there is no room.
+    DiskFull,
+    /// Nodes' disks: syncs fail, and what they were to keep is lost.
+    DiskBroken,
+    /// Nodes' disks: nothing can be written.
+    DiskReadOnly,
     /// Nodes: SIGSTOP for `for_s`.
     NodeFreeze,
     /// Nodes: SIGTERM; they start again once they have ended, after `for_s` at the earliest.
@@ -508,6 +528,30 @@
     TenantFlood,
     /// Clients: a part `size` sends its request byte by byte.
     SlowClients,
+    /// Clients: a part `size` more asks for what no server takes, and is answered 400 by each.
+    WrongRequests,
+}
+
+impl Kind {
+    /// It meets nodes, not servers.
+    pub fn of_nodes(self) -> bool {
+        matches!(
+            self,
+            Kind::NodeKill
+                | Kind::NodePowerLoss
+                | Kind::NodeCrashes
+                | Kind::NodeFreeze
+                | Kind::NodeStop
+                | Kind::NodeUpgrade
+                | Kind::NodeReload
+                | Kind::NodeCall
+        ) || self.of_disks()
+    }
+
+    /// It meets the disks of nodes.
+    pub fn of_disks(self) -> bool {
+        matches!(self, Kind::DiskSlow | Kind::DiskFull | Kind::DiskBroken | Kind::DiskReadOnly)
+    }
 }
 
 /// `[expect]`: absent, nothing is expected beyond the rules.
@@ -585,6 +629,7 @@
             ("fleet.cores", f.cores, 0.1, 1024.0),
             ("fleet.cold_from", f.cold_from, 0.01, 1.0),
             ("fleet.cold_s", f.cold_s, 0.0, 3600.0),
+            ("fleet.store_old_s", f.store_old_s, 0.0, 1e6),
             ("fleet.key_saving", f.key_saving, 0.0, 0.99),
             ("fleet.slots_per_core", f.slots_per_core, 0.1, 1e4),
             ("fleet.queue_per_core", f.queue_per_core, 0.0, 1e6),
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -12,8 +12,8 @@
 use daleturn::control::members::Node;
 use daleturn::control::zones::{Order, Zones};
 use daleturn::interface::{
-    Action, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Load, Outcome, Request,
-    RequestId, Settings,
+    Action, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Load, Memory, Outcome,
+    Request, RequestId, Settings,
 };
 use daleturn::options::Options;
 use daleturn::wire::stable_hash;
@@ -21,7 +21,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use thiserror::Error;
 
 /// A node's own answer comes so long before its client gives up.
@@ -30,6 +30,9 @@
 const WATCH_MS: f64 = 20_000.0;
 /// How often a node's shared state and its zones are looked at.
 const SHARE_TICK_MS: f64 = 20.0;
+/// How often a node writes down what it has learned, and how long that is believed, as the node has it.
+const LEARN_MS: f64 = 3000.0;
+const LEARNED_AGE_MS: f64 = 600_000.0;
 const ZONES_TICK_MS: f64 = 100.0;
 /// Tenants' totals are handed to the decisions every so many ticks of the shared state.
 const TELL_EVERY: u64 = 5;
@@ -108,6 +111,11 @@
         node: usize,
         epoch: u32,
     },
+    /// A node writes down what it has learned.
+    Learn {
+        node: usize,
+        epoch: u32,
+    },
     Datagram {
         from: usize,
         to: usize,
@@ -236,6 +244,13 @@
     cordoned: BTreeSet<usize>,
 }
 
+/// What a node's store holds, as the thread that has the disk writes it: the oldest first.
+#[derive(Default)]
+struct Kept {
+    learned: VecDeque<(f64, Memory)>,
+    cordoned: BTreeSet<usize>,
+}
+
 struct Machine {
     model: Server,
     up: bool,
@@ -259,6 +274,8 @@
     now: f64,
     nodes: Vec<Option<Host>>,
     epochs: Vec<u32>,
+    /// By node; empty where no state is kept.
+    stores: Vec<Kept>,
     /// Until when the front still sends clients to a node that has gone.
     gone: Vec<f64>,
     machines: Vec<Machine>,
@@ -287,6 +304,12 @@
             | Kind::NodeReload
             | Kind::DiscoveryMove
             | Kind::SlowClients
+            | Kind::WrongRequests
+            | Kind::NodeCrashes
+            | Kind::DiskSlow
+            | Kind::DiskFull
+            | Kind::DiskBroken
+            | Kind::DiskReadOnly
             | Kind::Release
             | Kind::ReleaseKill
             | Kind::ReleaseFreeze
@@ -357,6 +380,7 @@
             now: 0.0,
             nodes: (0..count).map(|_| None).collect(),
             epochs: vec![0; count],
+            stores: (0..count).map(|_| Kept::default()).collect(),
             gone: vec![f64::NEG_INFINITY; count],
             machines,
             ids,
@@ -420,13 +444,24 @@
             version: 0,
             watching: false,
             kept: vec![f64::NEG_INFINITY; self.machines.len()],
-            cordoned: BTreeSet::new(),
+            cordoned: self.stores[node].cordoned.clone(),
         };
         self.nodes[node] = Some(host);
         self.gone[node] = f64::NEG_INFINITY;
         self.feed(node, Event::Start);
         let entries = self.entries(node, 0, true);
         self.feed(node, Event::List { kind: ListKind::Saved, entries });
+        if !self.options.state.dir.is_empty() {
+            let (now, old) = (self.now, self.plan.scenario.fleet.store_old_s * 1000.0);
+            let believed = self.stores[node].learned.iter().rfind(|(at, _)| now - at >= old);
+            let believed = believed.filter(|(at, _)| now - at <= LEARNED_AGE_MS).map(|(_, m)| m.clone());
+            if let Some(memory) = believed {
+                self.feed(node, Event::Memory(Box::new(memory)));
+            }
+            self.stores[node].learned.clear();
+            let at = self.now + LEARN_MS * (0.5 + self.rng.random::<f64>());
+            self.push(at, What::Learn { node, epoch });
+        }
         if let Some(host) = &mut self.nodes[node] {
             host.version = 1;
         }
@@ -911,6 +946,11 @@
             return;
         }
         let Some(server) = self.plan.machines.iter().position(|m| m.name == about) else { return };
+        if !self.options.state.dir.is_empty() {
+            // On disk before it is answered.
+            let kept = &mut self.stores[node].cordoned;
+            let _ = if out { kept.insert(server) } else { kept.remove(&server) };
+        }
         let Some(host) = &mut self.nodes[node] else { return };
         if out {
             host.cordoned.insert(server);
@@ -1183,6 +1223,23 @@
         }
     }
 
+    /// Writes down what a node has learned, and drops what is older than its next start could find.
+    fn learn(&mut self, node: usize, epoch: u32) {
+        if self.epochs[node] != epoch {
+            return;
+        }
+        let Some(host) = &self.nodes[node] else { return };
+        let kept = &mut self.stores[node];
+        kept.learned.push_back((self.now, host.balancer.memory()));
+        kept.cordoned.clone_from(&host.cordoned);
+        let old = self.now - self.plan.scenario.fleet.store_old_s * 1000.0;
+        while kept.learned.get(1).is_some_and(|(at, _)| *at <= old) {
+            kept.learned.pop_front();
+        }
+        let at = self.now + LEARN_MS * (0.8 + 0.4 * self.rng.random::<f64>());
+        self.push(at, What::Learn { node, epoch });
+    }
+
     fn finish_fault(&mut self, n: usize) -> Result<(), SimError> {
         let fault = self.plan.faults[n].clone();
         self.active.remove(&fault.number);
@@ -1237,6 +1294,7 @@
                     self.share_tick(node, turn);
                     self.push(self.now + SHARE_TICK_MS, What::Share { node, epoch, turn: turn + 1 });
                 }
+                What::Learn { node, epoch } => self.learn(node, epoch),
                 What::Zones { node, epoch } if self.epochs[node] == epoch => {
                     self.zones_tick(node);
                     self.push(self.now + ZONES_TICK_MS, What::Zones { node, epoch });
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -2,7 +2,7 @@
 //! caught at it. No verdict here depends on the machine's speed.
 
 use daleturn_lab::judge::{Rule, Verdict};
-use daleturn_lab::real::{Options, Outcome, PlayError, beside, block_on, play};
+use daleturn_lab::real::{Options, Outcome, PlayError, READY, beside, block_on, play};
 use daleturn_lab::scenario::Scenario;
 use std::path::{Path, PathBuf};
 use tokio::sync::watch;
@@ -17,7 +17,7 @@
 fn options(node: PathBuf, args: &[&str]) -> (watch::Sender<bool>, Options) {
     let (stop, stopped) = watch::channel(false);
     let node_args = args.iter().map(|a| (*a).to_owned()).collect();
-    (stop, Options { node, node_args, next: None, logs: None, stop: stopped })
+    (stop, Options { node, node_args, next: None, logs: None, ready: READY, stop: stopped })
 }
 
 fn played(scenario: &Scenario, node: PathBuf, args: &[&str]) -> Outcome {
@@ -151,7 +151,51 @@
     let scenario = Scenario::parse(SHORT).expect("a scenario");
     let (_stop, options) = options(PathBuf::from("/bin/false"), &[]);
     let played = block_on(async { play(&scenario, 1, &options, |_| {}).await }).expect("threads");
-    assert!(matches!(played, Err(PlayError::Ready { node: 0, why: Some(_) })), "{played:?}");
+    assert!(matches!(played, Err(PlayError::Ready { node: 0, why: Some(_), .. })), "{played:?}");
+    // One that lives and never says yes.
+    let (_stop, mut options) = self::options(built("examples/wrong-node"), &["never-ready"]);
+    options.ready = std::time::Duration::from_millis(300);
+    let played = block_on(async { play(&scenario, 1, &options, |_| {}).await }).expect("threads");
+    assert!(matches!(played, Err(PlayError::Ready { node: 0, why: None, .. })), "{played:?}");
+    let why = played.unwrap_err().to_string();
+    assert_eq!(why, "node 0 did not get ready within 0.3 s");
+}
+
+#[test]
+fn a_node_that_says_a_hundred_megabytes_is_read_and_little_of_it_is_kept() {
+    let scenario = Scenario::parse(SHORT).expect("a scenario");
+    let logs = std::env::temp_dir().join(format!("daleturn-lab-chatter-{}", std::process::id()));
+    let (_stop, mut options) = options(built("examples/wrong-node"), &["chatters"]);
+    options.logs = Some(logs.clone());
+    let played = block_on(async { play(&scenario, 1, &options, |_| {}).await }).expect("threads");
+    let served = played.expect("it got ready: somebody read what it said").figures.worth;
+    let kept = std::fs::metadata(logs.join("n0-1.log")).expect("there").len();
+    std::fs::remove_dir_all(&logs).expect("there");
+    assert!(served > 0.0);
+    assert!((1_000_000..=17_000_000).contains(&kept), "{kept}");
+}
+
+#[test]
+fn a_day_on_which_troubles_overlap_and_links_are_cut_under_open_requests_is_kept() {
+    kept("ci-hard.toml");
+}
+
+#[test]
+fn two_days_at_once_do_not_meet_each_other() {
+    let day = || std::thread::spawn(|| kept("ci-calm.toml"));
+    for day in [day(), day()] {
+        day.join().expect("kept");
+    }
+}
+
+#[test]
+fn clients_that_ask_for_what_no_server_takes_cost_nobody_else_anything() {
+    let wrong = "[[trouble]]\nkind = \"wrong-requests\"\nat_s = 0.1\nfor_s = 1.8\nsize = 0.4\n";
+    let scenario = Scenario::parse(&format!("{SHORT}{wrong}")).expect("a scenario");
+    let outcome = played(&scenario, built("daleturn-node"), &[]);
+    assert_eq!(outcome.verdict, Verdict::Kept, "{}", outcome.line());
+    let f = &outcome.figures;
+    assert!(f.failed >= 10 && f.refused == 0, "each was told so, and no other: {} {}", f.failed, f.refused);
 }
 
 #[test]
