Take operators' words on backends one after the other, each judged by what holds then

Cause, found on reading: who had taken a backend out was remembered past an uncordon by another node or process, so a later release could not put it back; a release's word and an operator's that were stored at the same time could each overwrite the other; what a call says of a cordon was worked out twice.

Change: such words take turns (250 ms at most, then ERR and nothing changed); an entry counts only while the backend is out; worked out once for each call.

Result: two words at once on a disk of five seconds a sync are both ERR in their second, one for its turn; node_state and node_operator pass (17).

--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -66,6 +66,12 @@
         Cordon { since_ms: wall_ms(), release, why: why.to_owned() }
     }
 
+    /// What a controller's word makes of the one that has the backend out; none where it is in, also by a word to another
+    /// node or process since. What an operator took out stays an operator's.
+    pub fn of_release(before: Option<&Cordon>) -> Cordon {
+        before.cloned().unwrap_or_else(|| Cordon::now(true, ""))
+    }
+
     /// A build that knows no reasons takes whatever is here for an operator's word.
     fn value(&self) -> Vec<u8> {
         if self.release { RELEASE.to_vec() } else { self.why.clone().into_bytes() }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -300,6 +300,7 @@
             zoning: zoning.clone(),
             lease: Lease::stored(kept.lease.as_deref()).into(),
             cordons: kept.cordons.clone().into(),
+            turn: tokio::sync::Mutex::new(()),
             name: config.name.clone(),
             started,
             started_ms: driver.clock.now_ms() as u64,
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -29,6 +29,8 @@
 const CALL_TIME: Duration = Duration::from_secs(3);
 /// Time for the answer to be taken, and for the caller to close.
 const FAREWELL: Duration = Duration::from_millis(500);
+/// Time for a word to wait for the one before it, so that its caller is answered within its second.
+const TURN: Duration = Duration::from_millis(250);
 /// A lease that was not renewed for so many seconds may be taken by another release.
 const LEASE_S: u64 = 20;
 /// Why a word for the whole fleet is turned down.
@@ -118,6 +120,8 @@
     pub lease: RefCell<Lease>,
     /// Who took which backend out, and why, as far as it was said here.
     pub cordons: RefCell<BTreeMap<String, Cordon>>,
+    /// Whose word on a backend is being stored: the next one is judged by what that leaves.
+    pub turn: tokio::sync::Mutex<()>,
     /// What the nodes share, where they do.
     pub sharing: Option<Rc<Sharing>>,
     /// Zones, where they are judged.
@@ -182,7 +186,7 @@
     }
 
     /// A word that is to outlive this machine is on its disk before it holds, and before it is answered.
-    async fn store(&self, call: &Call) -> Result<(), String> {
+    async fn store(&self, call: &Call, cordon: Option<&Cordon>) -> Result<(), String> {
         let Some(durable) = &self.durable else { return Ok(()) };
         let stored = match call {
             Call::Cordon { id, .. }
@@ -191,7 +195,7 @@
             | Call::FleetUncordon(id)
             | Call::Leased { id, .. } => {
                 self.driver.check(id).map_err(|e| e.to_string())?;
-                durable.cordon(id, self.said(call).as_ref()).await
+                durable.cordon(id, cordon).await
             }
             Call::Lease { holder, number } if *number > self.lease.borrow().number => {
                 durable.lease(&format!("{holder} {number}")).await
@@ -209,10 +213,9 @@
         match call {
             Call::Cordon { why, .. } => Some(Cordon::now(false, why)),
             Call::FleetCordon(_) => Some(Cordon::now(false, "said for the whole fleet")),
-            // What an operator took out stays an operator's.
             Call::Leased { out: true, id, .. } => {
-                let before = self.cordons.borrow().get(id).cloned();
-                Some(before.unwrap_or_else(|| Cordon::now(true, "")))
+                let out = self.driver.out().contains(id);
+                Some(Cordon::of_release(self.cordons.borrow().get(id).filter(|_| out)))
             }
             _ => None,
         }
@@ -257,6 +260,17 @@
                 ));
             }
         }
+        let _turn = match call {
+            Call::Cordon { .. }
+            | Call::Uncordon(_)
+            | Call::FleetCordon(_)
+            | Call::FleetUncordon(_)
+            | Call::Leased { .. } => {
+                let turn = tokio::time::timeout(TURN, self.turn.lock()).await;
+                Some(turn.map_err(|_| "nothing changed, the word before it is still being stored")?)
+            }
+            _ => None,
+        };
         match call {
             Call::Lease { holder, number } => self.lease.borrow().check(holder, *number)?,
             Call::Leased { lease, .. } => self.lease.borrow().counts(*lease)?,
@@ -267,7 +281,9 @@
         {
             return Ok(format!("{id} stays out, as an operator said"));
         }
-        self.store(call).await?;
+        // By what holds before this word does.
+        let cordon = self.said(call);
+        self.store(call, cordon.as_ref()).await?;
         let said = match call {
             Call::Health => return self.health(),
             Call::Upgrade(_) | Call::Versions => {
@@ -284,17 +300,17 @@
             }
             Call::Leased { out: true, id, .. } => {
                 let said = self.driver.cordon(id).map_err(|e| e.to_string())?;
-                self.remember(id, self.said(call));
+                self.remember(id, cordon);
                 said
             }
             Call::Leased { id, .. } | Call::Uncordon(id) => {
                 let said = self.driver.uncordon(id).map_err(|e| e.to_string())?;
-                self.remember(id, None);
+                self.remember(id, cordon);
                 said
             }
             Call::Cordon { id, .. } => {
                 let said = self.driver.cordon(id).map_err(|e| e.to_string())?;
-                self.remember(id, self.said(call));
+                self.remember(id, cordon);
                 let lasts = self.durable.is_some() || self.driver.lasts();
                 said + if lasts { "" } else { ", until this process ends" }
             }
@@ -306,7 +322,7 @@
             Call::Zones => return Ok(Zoning::figures(&self.driver, &self.rules)?.to_string()),
             Call::FleetCordon(id) | Call::FleetUncordon(id) => {
                 let said = self.fleet_word(id, matches!(call, Call::FleetCordon(_)))?;
-                self.remember(id, self.said(call));
+                self.remember(id, cordon);
                 said
             }
             Call::Quiesce => self.server.quiesce()?,
--- a/tests/node_state.rs
+++ b/tests/node_state.rs
@@ -178,6 +178,13 @@
     for _ in 0..20 {
         assert_eq!(ask(first.address, &request("page", 3000)).status(), 200);
     }
+    // Words are taken one after the other: of two at once, the later is not kept waiting for the first one's disk.
+    let said: Vec<String> = std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..2).map(|_| scope.spawn(|| first.call("cordon s-1"))).collect();
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
+    });
+    assert!(said.iter().any(|s| s.contains("the word before it is still being stored")), "{said:?}");
+    assert!(said.iter().all(|s| s.starts_with("ERR nothing changed")), "{said:?}");
     orders(&drill, "{}");
     wait_for("the disk is done with it", || first.call("cordon s-0").starts_with("OK"));
     first.kill();
