Ask discovery anew before what a silent watch missed counts as told

Cause: a watch on a discovery that is asked waited 20 s, was given 1.5 s more and then counted as a failed call, paced by the decisions; what it missed counts as told 2 s after its wait. After SIGHUP the same pace let 300 nodes miss 4 s.

Ruled out: late sends (every node stopped at the list), the grace, a lost change (docs/findings/silent-watch.md).

Change: src/control/asking.rs, a machine without I/O, says what is asked, for how long, and what a failure leads to. Waits are drawn from half to all of the settings' time for asking; silence is found 0.5 s after; repeats before the moment of counting as told are unpaced, each with half of the time left. The node carries it out.

--- /dev/null
+++ b/src/control/asking.rs
@@ -0,0 +1,234 @@
+//! How the list of backends is kept fresh: what discovery is asked next, how long its answer may take, and what an
+//! answer or a failure leads to. It knows no address, no socket and none of the list's lines.
+//!
+//! What discovery has to tell counts as told at a certain moment, whether or not it has arrived. Whoever waits knows
+//! that moment and asks anew before it, with time for one more failure: each such call gets half of the time that is
+//! left. `docs/design.md` has the bounds of each way in which the list arrives.
+
+use crate::interface::Discovery;
+
+/// A watch that has fallen silent: what it misses counts as told so long after, in milliseconds ...
+const SILENT_MS: f64 = 6000.0;
+/// ... or so long after the end of its wait, if that is later.
+const AFTER_WAIT_MS: f64 = 2000.0;
+/// After new settings.
+const MOVED_MS: f64 = 4000.0;
+/// An answer that is later than its wait by so much does not come: time for the way and for a busy service, and a
+/// quarter of what is left until its news counts as told.
+const LATE_MS: f64 = 500.0;
+/// An answer that need not wait for news comes within this, or not at all: so long may calls wait in turn.
+const PROMPT_MS: f64 = 2200.0;
+/// No call gets less than this.
+const LEAST_MS: f64 = 250.0;
+/// Longest wait for news where lists are pushed: asking costs nothing there, and a short wait soon shows an agent that
+/// has fallen silent.
+const PUSHED_WAIT_MS: f64 = 2000.0;
+/// Bounds of the same where discovery is asked; between them it is the time that the settings give for asking.
+const LEAST_WAIT_MS: f64 = 1000.0;
+const MOST_WAIT_MS: f64 = 20_000.0;
+/// Pauses after failures and after answers that could not be used: doubled from the first to the last. A watch that
+/// goes on within 200 ms has missed nothing.
+const FIRST_PAUSE_MS: f64 = 20.0;
+const LAST_PAUSE_MS: f64 = 150.0;
+/// The same where one service answers all nodes in turn.
+const ASKED_PAUSE_MS: f64 = 100.0;
+/// A watch that brought no news sooner than this has not waited.
+const HASTY_MS: f64 = 50.0;
+
+/// What discovery is asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ask {
+    /// The whole list.
+    Whole,
+    /// What has changed since a version, when something has or the wait is over.
+    Changes {
+        /// The version.
+        after: u64,
+        /// The longest wait, in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+/// One call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    /// What for.
+    pub ask: Ask,
+    /// Milliseconds after which its answer is not waited for any more.
+    pub limit_ms: f64,
+    begun: f64,
+}
+
+impl Call {
+    /// Whole milliseconds since it was made.
+    pub fn after_ms(&self, now: f64) -> u64 {
+        (now - self.begun).max(0.0) as u64
+    }
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Next {
+    /// Make this call.
+    Call(Call),
+    /// Nothing, for so many milliseconds.
+    Pause(f64),
+    /// Nothing, until the decisions wish for news or discovery has moved.
+    Rest,
+}
+
+/// What is known of an answer without reading its lines.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// Its version.
+    pub version: u64,
+    /// It is the whole list.
+    pub all: bool,
+    /// Lines that could not be read.
+    pub skipped: usize,
+}
+
+/// The course of asking.
+#[derive(Debug)]
+pub struct Asking {
+    how: Discovery,
+    longest_wait: f64,
+    /// The version that changes are asked from; none where only the whole list can tell.
+    version: Option<u64>,
+    /// The decisions wish for news. Where lists are pushed there is no need to.
+    wanted: bool,
+    /// What was missed counts as told from then on.
+    due: Option<f64>,
+    pause_until: f64,
+    /// Answers in a row that were of no use.
+    vain: u32,
+    rng: fastrand::Rng,
+}
+
+impl Asking {
+    /// Nothing was asked yet; a list of that version is known whole.
+    pub fn new(how: Discovery, must_ask_in_ms: f64, known: Option<u64>, seed: u64) -> Asking {
+        Asking {
+            how,
+            longest_wait: longest_wait(how, must_ask_in_ms),
+            version: known,
+            wanted: how == Discovery::Pushed,
+            due: None,
+            pause_until: f64::NEG_INFINITY,
+            vain: 0,
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Settings came that name another discovery, or another way in which its lists arrive. It may count anew, so the
+    /// whole list is asked for, at once, whatever pace the old one had earned.
+    pub fn moved(&mut self, now: f64, how: Discovery) {
+        let rng = self.rng.clone();
+        *self = Asking { rng, ..Asking::new(how, self.longest_wait, None, 0) };
+        self.wanted = true;
+        self.due = Some(now + MOVED_MS);
+    }
+
+    /// The settings give this time for asking, from the next call on.
+    pub fn retune(&mut self, must_ask_in_ms: f64) {
+        self.longest_wait = longest_wait(self.how, must_ask_in_ms);
+    }
+
+    /// The decisions wish for news, or for none.
+    pub fn wish(&mut self, wanted: bool) {
+        self.wanted = wanted || self.how == Discovery::Pushed;
+    }
+
+    /// The version of the list that is known.
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    /// What to do now.
+    pub fn next(&mut self, now: f64) -> Next {
+        if !self.wanted {
+            return Next::Rest;
+        }
+        if now < self.pause_until {
+            return Next::Pause(self.pause_until - now);
+        }
+        let ask = match self.version {
+            Some(after) => {
+                // Something may have been missed: what there is must come now.
+                let wait = if self.due.is_some() { 0.0 } else { self.draw(self.longest_wait) };
+                Ask::Changes { after, wait_ms: wait.ceil().max(1.0) as u64 }
+            }
+            None => Ask::Whole,
+        };
+        let limit_ms = match (ask, self.due) {
+            (Ask::Changes { wait_ms, .. }, None) => wait_ms as f64 + LATE_MS,
+            (_, Some(due)) => ((due - now) / 2.0).clamp(LEAST_MS, PROMPT_MS),
+            (Ask::Whole, None) => PROMPT_MS,
+        };
+        Next::Call(Call { ask, limit_ms, begun: now })
+    }
+
+    /// A call was answered. True: its lines hold; false: they are of another count, and only a whole list tells.
+    pub fn answered(&mut self, now: f64, call: &Call, told: Told) -> bool {
+        self.due = None;
+        let before = self.version;
+        if !told.all && before.is_none_or(|version| told.version < version) {
+            self.version = None;
+            self.rest(now);
+            return false;
+        }
+        self.version = Some(told.version);
+        // A watch that did not wait and brought nothing must not spin.
+        let waits = matches!(call.ask, Ask::Changes { wait_ms, .. } if wait_ms as f64 > HASTY_MS);
+        if waits && before == Some(told.version) && now - call.begun < HASTY_MS {
+            self.rest(now);
+        } else {
+            self.vain = 0;
+        }
+        true
+    }
+
+    /// A call failed, or its time is over. True: the decisions pace what follows, and have to be told.
+    pub fn failed(&mut self, now: f64, call: &Call) -> bool {
+        let silent = now - call.begun >= call.limit_ms;
+        if let (Ask::Changes { wait_ms, .. }, None, true) = (call.ask, self.due, silent) {
+            // It may have been silent from its first moment.
+            self.due = Some(call.begun + SILENT_MS.max(wait_ms as f64 + AFTER_WAIT_MS));
+            self.vain = 0;
+            return false;
+        }
+        self.due = self.due.filter(|due| now < *due);
+        if self.how == Discovery::Pushed {
+            // Whoever answers next may count anew, and here the whole list costs nothing.
+            self.version = None;
+        } else if self.due.is_none() {
+            // Each call costs the one service of all nodes.
+            self.wanted = false;
+            self.vain = 0;
+            return true;
+        }
+        self.rest(now);
+        false
+    }
+
+    fn rest(&mut self, now: f64) {
+        let first = if self.how == Discovery::Pushed { FIRST_PAUSE_MS } else { ASKED_PAUSE_MS };
+        // Where news is about to count as told, time has to be left for the call after this pause.
+        let last = self.due.map_or(LAST_PAUSE_MS, |due| (due - now) / 4.0);
+        let pause = (first * f64::from(1_u32 << self.vain.min(12))).min(last);
+        self.vain = self.vain.saturating_add(1);
+        self.pause_until = now + self.draw(pause);
+    }
+
+    /// Nodes that heard the same thing must not go on in step.
+    fn draw(&mut self, most: f64) -> f64 {
+        most * (0.5 + 0.5 * self.rng.f64())
+    }
+}
+
+fn longest_wait(how: Discovery, must_ask_in_ms: f64) -> f64 {
+    match how {
+        Discovery::Pushed => PUSHED_WAIT_MS,
+        Discovery::OnRequest => must_ask_in_ms.clamp(LEAST_WAIT_MS, MOST_WAIT_MS),
+    }
+}
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -7,6 +7,7 @@
 use crate::socket::Descriptors;
 use crate::upstream::Conn;
 use bytes::Bytes;
+use daleturn::control::asking::{Ask, Asking, Call, Next, Told};
 use daleturn::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use daleturn::wire::{Names, stable_hash};
 use hyper::header::HOST;
@@ -15,22 +16,11 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 
-/// How long a watch may wait for news. Pushed lists cost nothing to ask for, and a short wait soon shows an
-/// agent that has fallen silent.
-const PUSHED_WAIT_MS: u64 = 2_000;
-const ASKED_WAIT_MS: u64 = 20_000;
-/// What an answer may take beyond that.
-const SLACK: Duration = Duration::from_millis(1_500);
 /// The whole list may be a great deal larger than a request.
 const LIST_LIMIT: usize = 8 * 1024 * 1024;
-/// Pause after a failed call where nobody paces the calls; within 200 ms a watch goes on.
-const PAUSE: Duration = Duration::from_millis(150);
-/// A watch without news that took less than this has not waited.
-const HASTY: Duration = Duration::from_millis(50);
-
 /// An answer of discovery, or the list that a node starts with.
 pub struct Listing {
     rev: u64,
@@ -118,10 +108,10 @@
 pub struct Watch {
     /// Where discovery is and how the list arrives; both may change.
     pub address: watch::Receiver<(SocketAddr, Discovery)>,
-    /// The version of the list that is known already. Asking for the changes since costs the one service of
-    /// all nodes far less than the whole list, above all where many nodes start at once.
-    pub known: Option<u64>,
-    /// Names of zones.
+    /// What is asked when. The version that is known spares the one service of all nodes whole lists, above all where
+    /// many nodes start at once.
+    pub asking: Asking,
+    /// Names of zones, and the time that the settings give for asking.
     pub rules: Rc<Current>,
     /// The count of sockets.
     pub descriptors: Rc<Descriptors>,
@@ -133,120 +123,116 @@
     /// Runs until the driver is gone.
     pub async fn run(mut self, driver: Rc<Driver>) {
         let mut address = self.address.clone();
-        let (mut at, mut mode) = *address.borrow_and_update();
+        let (mut at, _) = *address.borrow_and_update();
         let mut conn = None;
-        let mut rev = self.known;
-        let mut wanted = mode == Discovery::Pushed;
         let mut failing = false;
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
-                wanted = wish;
+                self.asking.wish(wish);
             }
-            if !wanted {
-                tokio::select! {
-                    wish = self.wishes.recv() => match wish {
-                        Some(wish) => wanted = wish,
-                        None => return,
-                    },
-                    // Whatever pace the old address had earned, the new one is asked now.
-                    new = moved(&mut address) => ((at, mode), conn, rev, wanted) = (new, None, None, true),
+            self.asking.retune(self.rules.get().settings.must_ask_in_ms);
+            let next = self.asking.next(driver.clock.now_ms());
+            let step = async {
+                match next {
+                    Next::Rest => Step::Wished(self.wishes.recv().await),
+                    Next::Pause(ms) => {
+                        tokio::time::sleep(Duration::from_secs_f64(ms / 1000.0)).await;
+                        Step::Rested
+                    }
+                    Next::Call(call) => {
+                        let limit = Duration::from_secs_f64(call.limit_ms / 1000.0);
+                        let answer = exchange(at, &call, &self.rules, &self.descriptors, &mut conn);
+                        let answer = tokio::time::timeout(limit, answer).await;
+                        Step::Called(call, answer.unwrap_or_else(|late| Err(late.into())))
+                    }
                 }
-                continue;
-            }
-            let begun = Instant::now();
-            let result = tokio::select! {
-                result = self.call(at, mode, &mut conn, rev) => result,
-                // A call to the old address may wait for long, and in vain; the new one may count anew.
-                new = moved(&mut address) => {
-                    ((at, mode), conn, rev) = (new, None, None);
+            };
+            let (call, answer) = tokio::select! {
+                // What the old address still says is dropped with the call: the new one may count anew.
+                biased;
+                (new, how) = moved(&mut address) => {
+                    (at, conn) = (new, None);
+                    self.asking.moved(driver.clock.now_ms(), how);
                     continue;
                 }
+                step = step => match step {
+                    Step::Wished(None) => return,
+                    Step::Wished(Some(wish)) => {
+                        self.asking.wish(wish);
+                        continue;
+                    }
+                    Step::Rested => continue,
+                    Step::Called(call, answer) => (call, answer),
+                },
             };
-            match result {
+            let now = driver.clock.now_ms();
+            match answer {
                 Ok(listing) => {
-                    // A watch that did not wait and brought nothing must not make this loop spin.
-                    let idle = rev == Some(listing.rev) && begun.elapsed() < HASTY;
-                    // A version below ours is another count: only the whole list says what holds.
-                    let lost = !listing.all && rev.is_none_or(|r| listing.rev < r);
-                    rev = if lost { None } else { Some(listing.rev) };
                     if failing {
                         say!(INFO, "discovery", "discovery.recovered");
                         failing = false;
                     }
-                    if !listing.targets.is_empty() {
-                        let (version, entries, all) = (listing.rev, listing.targets.len(), listing.all);
-                        let after_ms = begun.elapsed().as_millis() as u64;
+                    let Listing { rev: version, all, skipped, targets } = listing;
+                    if !targets.is_empty() {
+                        let (entries, after_ms) = (targets.len(), call.after_ms(now));
                         say!(INFO, "discovery", version, entries, all, after_ms, "discovery.listed");
                     }
                     // No change is news too where discovery is asked: the call did not fail.
-                    if !lost {
-                        driver.list_version(Some(listing.rev));
-                        let kind = if listing.all { ListKind::Full } else { ListKind::Changes };
-                        driver.take(Input::List(kind, listing.targets));
-                    }
-                    if lost || idle {
-                        tokio::time::sleep(PAUSE).await;
+                    if self.asking.answered(now, &call, Told { version, all, skipped }) {
+                        driver.list_version(self.asking.version());
+                        driver.take(Input::List(
+                            if all { ListKind::Full } else { ListKind::Changes },
+                            targets,
+                        ));
                     }
                 }
                 Err(e) => {
                     conn = None;
+                    let paced = self.asking.failed(now, &call);
                     // Calls that the decisions pace are few: each failure is told.
-                    if !failing || mode == Discovery::OnRequest {
-                        let (reason, after_ms) = (e.to_string(), begun.elapsed().as_millis() as u64);
+                    if !failing || paced {
+                        let (reason, after_ms) = (e.to_string(), call.after_ms(now));
                         say!(WARN, "discovery", after_ms, reason = reason.as_str(), "discovery.failed");
                         failing = true;
                     }
-                    if mode == Discovery::OnRequest {
-                        // The decisions pace the calls: each costs the one service of all nodes.
-                        wanted = false;
+                    if paced {
                         driver.take(Input::List(ListKind::Failed, Vec::new()));
-                    } else {
-                        // Whoever answers next may count anew, and here the whole list costs nothing.
-                        rev = None;
-                        tokio::time::sleep(PAUSE).await;
                     }
                 }
             }
         }
     }
+}
 
-    async fn call(
-        &self,
-        at: SocketAddr,
-        mode: Discovery,
-        conn: &mut Option<Conn>,
-        rev: Option<u64>,
-    ) -> Result<Listing, Box<dyn Error>> {
-        let wait_ms = if mode == Discovery::Pushed { PUSHED_WAIT_MS } else { ASKED_WAIT_MS };
-        let (path, wait) = match rev {
-            None => ("/discovery/hosts".to_owned(), Duration::from_millis(ASKED_WAIT_MS / 10)),
-            Some(rev) => {
-                let path = format!("/discovery/hosts?after={rev}&wait_ms={wait_ms}");
-                (path, Duration::from_millis(wait_ms))
-            }
-        };
-        let request =
-            Request::get(path).header(HOST, at.to_string()).body(Outgoing::whole(Bytes::new()))?;
-        tokio::time::timeout(wait + SLACK, self.exchange(at, conn, request)).await?
-    }
+/// What came of one step.
+enum Step {
+    Wished(Option<bool>),
+    Rested,
+    Called(Call, Result<Listing, Box<dyn Error>>),
+}
 
-    async fn exchange(
-        &self,
-        at: SocketAddr,
-        kept: &mut Option<Conn>,
-        request: Request<Outgoing>,
-    ) -> Result<Listing, Box<dyn Error>> {
-        let mut conn = match kept.take().filter(Conn::alive) {
-            Some(conn) => conn,
-            None => Conn::open(at, self.descriptors.take().await).await?,
-        };
-        let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("status {}", answer.status()).into());
-        }
-        let json = serde_json::from_slice(answer.body())?;
-        let listing = listing(&json, &self.rules.get().names).ok_or("not a list")?;
-        *kept = Some(conn);
-        Ok(listing)
+async fn exchange(
+    at: SocketAddr,
+    call: &Call,
+    rules: &Current,
+    descriptors: &Rc<Descriptors>,
+    kept: &mut Option<Conn>,
+) -> Result<Listing, Box<dyn Error>> {
+    let path = match call.ask {
+        Ask::Whole => "/discovery/hosts".to_owned(),
+        Ask::Changes { after, wait_ms } => format!("/discovery/hosts?after={after}&wait_ms={wait_ms}"),
+    };
+    let request = Request::get(path).header(HOST, at.to_string()).body(Outgoing::whole(Bytes::new()))?;
+    let mut conn = match kept.take().filter(Conn::alive) {
+        Some(conn) => conn,
+        None => Conn::open(at, descriptors.take().await).await?,
+    };
+    let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("status {}", answer.status()).into());
     }
+    let json = serde_json::from_slice(answer.body())?;
+    let listing = listing(&json, &rules.get().names).ok_or("not a list")?;
+    *kept = Some(conn);
+    Ok(listing)
 }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -34,6 +34,7 @@
 use crate::upstream::Upstream;
 use crate::zoning::Zoning;
 use daleturn::Balancer;
+use daleturn::control::asking::Asking;
 use daleturn::interface::{Discovery, ListKind};
 use daleturn::options::Options;
 use daleturn::platform::{Config, Reload};
@@ -259,8 +260,8 @@
             running = reloading.reload(running).await;
         }
     });
-    let watch =
-        Watch { address, known: version, rules: rules.clone(), descriptors: descriptors.clone(), wishes };
+    let asking = Asking::new(settings.discovery, settings.must_ask_in_ms, version, config.seed);
+    let watch = Watch { address, asking, rules: rules.clone(), descriptors: descriptors.clone(), wishes };
     spawn_local(watch.run(driver.clone()));
     if let Some(sharing) = sharing.clone() {
         sharing.listen();
--- /dev/null
+++ b/tests/node_discovery.rs
@@ -0,0 +1,198 @@
+//! The list of backends on real sockets: whatever becomes of a watch, the news that it missed arrives, and nothing that
+//! was once told is taken back by what is older.
+mod node;
+
+use node::*;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::thread;
+
+const MODES: [&str; 2] = ["pushed", "on_request"];
+
+fn list(rev: u64, all: bool, targets: &[Value]) -> Vec<u8> {
+    reply("200 OK", "", json!({"rev": rev, "all": all, "targets": targets}).to_string().as_bytes())
+}
+
+fn watches(message: &Message) -> bool {
+    message.first_line.contains("after=")
+}
+
+/// Set once a test has seen its node up: before that no watch is answered.
+#[derive(Clone, Default)]
+struct Seen(Arc<AtomicBool>);
+
+impl Seen {
+    fn wait(&self) {
+        wait_for("the node was seen up", || self.0.load(SeqCst));
+    }
+}
+
+/// A node whose lists arrive that way, with a short time for asking.
+fn node(discovery: SocketAddr, mode: &str, seen: &Seen) -> Node {
+    let node = Node::start(discovery, |c| {
+        c["settings"]["membershipMode"] = mode.into();
+        c["settings"]["rules"]["mustAskInMs"] = 1000.into();
+    });
+    seen.0.store(true, SeqCst);
+    node
+}
+
+/// The first watch meets `end`; the backend drains in that moment, which whoever asks from then on is told.
+fn drains_as_the_watch_ends(mode: &str, end: Act) {
+    let record = Record::default();
+    let address = backends(1, &record, |_, _| ok(b"x"))[0];
+    let drains = AtomicBool::new(false);
+    let seen = Seen::default();
+    let up = seen.clone();
+    let discovery = backend(&Record::default(), move |_, message| {
+        if drains.load(SeqCst) {
+            return Act::Say(list(2, !watches(message), &[target("s-0", address, "draining")]));
+        }
+        if watches(message) {
+            up.wait();
+            drains.store(true, SeqCst);
+            return end.clone();
+        }
+        Act::Say(list(1, true, &[target("s-0", address, "up")]))
+    });
+    let node = node(discovery, mode, &seen);
+    wait_for("the drain is known", || node.up() == 503);
+    assert_eq!(ask(node.address, &request("page", 900)).status(), 503, "{mode}");
+    assert_eq!(record.count(), 0, "{mode}: sent to a backend that drains");
+}
+
+#[test]
+fn however_a_watch_ends_the_drain_that_it_missed_arrives() {
+    let half = &list(2, false, &[target("s-0", loopback(1), "draining")])[..60];
+    let ends = [
+        ("silent from its first byte", Act::Silent),
+        ("half an answer and then silence", Act::Parts(vec![(0, half.to_vec())])),
+        (
+            "a head without a body",
+            Act::Parts(vec![(0, b"HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n".to_vec())]),
+        ),
+        ("half an answer and the end", Act::SayAndClose(half.to_vec())),
+        ("reset", Act::SayAndClose(Vec::new())),
+        ("overbooked", Act::Say(reply("503 Service Unavailable", "", b""))),
+        ("not a list", Act::Say(reply("200 OK", "", b"{\"rev\": 2}"))),
+        ("a version that counts anew", Act::Say(list(0, false, &[]))),
+    ];
+    let threads = ends.into_iter().flat_map(|(what, end)| {
+        MODES.map(|mode| {
+            let end = end.clone();
+            (what, mode, thread::spawn(move || drains_as_the_watch_ends(mode, end)))
+        })
+    });
+    let threads: Vec<_> = threads.collect();
+    for (what, mode, thread) in threads {
+        assert!(thread.join().is_ok(), "{what}, {mode}");
+    }
+}
+
+#[test]
+fn a_repeat_that_hangs_leaves_time_for_another() {
+    for mode in MODES {
+        let record = Record::default();
+        let address = backends(1, &record, |_, _| ok(b"x"))[0];
+        let watched = AtomicUsize::new(0);
+        let seen = Seen::default();
+        let seen_up = seen.clone();
+        let discovery = backend(&Record::default(), move |_, message| {
+            let up = |state: &str| [target("s-0", address, state)];
+            match watched.load(SeqCst) {
+                0 if !watches(message) => Act::Say(list(1, true, &up("up"))),
+                // The watch and the call after it are never answered.
+                0 | 1 => {
+                    seen_up.wait();
+                    watched.fetch_add(1, SeqCst);
+                    Act::Silent
+                }
+                _ => Act::Say(list(2, !watches(message), &up("draining"))),
+            }
+        });
+        let node = node(discovery, mode, &seen);
+        wait_for("the drain is known", || node.up() == 503);
+    }
+}
+
+#[test]
+fn a_list_may_come_indented_and_may_leave_out_who_is_gone() {
+    for mode in MODES {
+        let record = Record::default();
+        let addresses = backends(2, &record, |_, _| ok(b"x"));
+        let all = all_up(&addresses);
+        let seen = Seen::default();
+        let up = seen.clone();
+        let discovery = backend(&Record::default(), move |n, _| {
+            // Whole lists for every call: two backends, then none.
+            if n > 0 {
+                up.wait();
+            }
+            let (rev, targets) = if n < 2 { (1, &all[..2]) } else { (2, &all[..0]) };
+            let body = serde_json::to_string_pretty(&json!({"rev": rev, "all": true, "targets": targets}));
+            Act::Say(reply("200 OK", "", body.unwrap().as_bytes()))
+        });
+        let node = node(discovery, mode, &seen);
+        wait_for("all are gone", || node.up() == 503);
+    }
+}
+
+#[test]
+fn what_the_old_address_still_says_changes_nothing_any_more() {
+    for mode in MODES {
+        let record = Record::default();
+        let address = backends(1, &record, |_, _| ok(b"x"))[0];
+        let moved = Arc::new(AtomicBool::new(false));
+        let turned = moved.clone();
+        let opened = Record::default();
+        let old = backend(&opened, move |_, message| {
+            if !watches(message) {
+                return Act::Say(list(7, true, &[target("s-0", address, "up")]));
+            }
+            // It answers once the new one has, and with a higher version.
+            wait_for("the new address was asked", || turned.load(SeqCst));
+            Act::Say(list(9, true, &[target("s-0", address, "up")]))
+        });
+        let new = backend(&Record::default(), move |_, message| {
+            moved.store(true, SeqCst);
+            let draining = [target("s-0", address, "draining")];
+            if watches(message) {
+                Act::Parts(vec![(100, list(1, false, &[]))])
+            } else {
+                Act::Say(list(1, true, &draining))
+            }
+        });
+        let mut node = node(old, mode, &Seen::default());
+        wait_for("a watch is out", || opened.count() > 1);
+        node.reconfigure(Some(new));
+        wait_for("the new list holds", || node.up() == 503);
+        wait_for("the old address has spoken and was closed", || opened.open_now() == 0);
+        assert_eq!(node.up(), 503, "{mode}");
+    }
+}
+
+#[test]
+fn a_new_address_that_fails_at_first_is_asked_again_at_once() {
+    for mode in MODES {
+        for first in [Act::Silent, Act::SayAndClose(Vec::new()), Act::Say(reply("503 No", "", b""))] {
+            let record = Record::default();
+            let address = backends(1, &record, |_, _| ok(b"x"))[0];
+            let old = Discovery::start(all_up(&[address]));
+            let new = backend(&Record::default(), move |n, message| match n {
+                0 => first.clone(),
+                _ if watches(message) => Act::Silent,
+                _ => Act::Say(list(1, true, &[target("s-0", address, "draining")])),
+            });
+            let mut node = Node::start(old.address, |c| {
+                c["settings"]["membershipMode"] = mode.into();
+                // A fleet so large that its decisions pace calls by five seconds and more.
+                c["settings"]["instances"] = 300.into();
+            });
+            node.reconfigure(Some(new));
+            wait_for("the drain is known", || node.up() == 503);
+            assert_eq!(node.logged("discovery.failed"), 1, "{mode}: of several calls the first is told");
+        }
+    }
+}
