Ask for the whole list after a line of changes that cannot be read

Cause, found on review: such a line was skipped and the version moved on, so its change was lost for good; a drain whose line held a bad endpoint or number as well was lost with it.

Change: after a skipped line the whole list is asked for, at a pace that backs off to 20 s, while the watch goes on; a line that says that a backend leaves holds whatever else is in it.

--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -32,6 +32,9 @@
 const LAST_PAUSE_MS: f64 = 150.0;
 /// The same where one service answers all nodes in turn.
 const ASKED_PAUSE_MS: f64 = 100.0;
+/// Pauses between whole lists while some line cannot be read: doubled from the first to the last.
+const SPOILT_MS: f64 = 100.0;
+const LAST_SPOILT_MS: f64 = 20_000.0;
 /// A watch that brought no news sooner than this has not waited.
 const HASTY_MS: f64 = 50.0;
 
@@ -99,6 +102,9 @@
     wanted: bool,
     /// What was missed counts as told from then on.
     due: Option<f64>,
+    /// Some line could not be read: the whole list is asked for then, and how often that was so in a row.
+    whole_at: Option<f64>,
+    spoilt: u32,
     pause_until: f64,
     /// Answers in a row that were of no use.
     vain: u32,
@@ -114,6 +120,8 @@
             version: known,
             wanted: how == Discovery::Pushed,
             due: None,
+            whole_at: None,
+            spoilt: 0,
             pause_until: f64::NEG_INFINITY,
             vain: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -139,9 +147,9 @@
         self.wanted = wanted || self.how == Discovery::Pushed;
     }
 
-    /// The version of the list that is known.
+    /// The version of the list that is known, unless part of it could not be read.
     pub fn version(&self) -> Option<u64> {
-        self.version
+        self.version.filter(|_| self.whole_at.is_none())
     }
 
     /// What to do now.
@@ -153,12 +161,13 @@
             return Next::Pause(self.pause_until - now);
         }
         let ask = match self.version {
-            Some(after) => {
+            Some(after) if self.whole_at.is_none_or(|at| now < at) => {
                 // Something may have been missed: what there is must come now.
                 let wait = if self.due.is_some() { 0.0 } else { self.draw(self.longest_wait) };
+                let wait = self.whole_at.map_or(wait, |at| wait.min(at - now));
                 Ask::Changes { after, wait_ms: wait.ceil().max(1.0) as u64 }
             }
-            None => Ask::Whole,
+            _ => Ask::Whole,
         };
         let limit_ms = match (ask, self.due) {
             (Ask::Changes { wait_ms, .. }, None) => wait_ms as f64 + LATE_MS,
@@ -178,6 +187,15 @@
             return false;
         }
         self.version = Some(told.version);
+        if told.skipped > 0 {
+            // What that line had to tell is in the whole list, if anywhere; a service that never gets it right must
+            // not be asked for that without end.
+            let pause = SPOILT_MS * f64::from(1_u32 << self.spoilt.min(12));
+            self.spoilt = self.spoilt.saturating_add(1);
+            self.whole_at = Some(now + self.draw(pause.min(LAST_SPOILT_MS)));
+        } else if told.all {
+            (self.whole_at, self.spoilt) = (None, 0);
+        }
         // A watch that did not wait and brought nothing must not spin.
         let waits = matches!(call.ask, Ask::Changes { wait_ms, .. } if wait_ms as f64 > HASTY_MS);
         if waits && before == Some(told.version) && now - call.begun < HASTY_MS {
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -71,17 +71,19 @@
         Some("removed") => Health::Gone,
         _ => return Err("state"),
     };
-    let address = match text("endpoint") {
-        Some(text) => Some(text.parse().map_err(|_| "endpoint")?),
-        None if health == Health::Gone => None,
-        None => return Err("endpoint"),
+    // Who leaves has nothing sent to it: whatever else its line holds, that holds at once.
+    let leaves = health != Health::Up;
+    let address = match text("endpoint").map(str::parse) {
+        Some(Ok(address)) => Some(address),
+        _ if leaves => None,
+        _ => return Err("endpoint"),
     };
     let number = |field: &'static str, default: f64| match line.get(field) {
         None | Some(Value::Null) => Ok(default),
-        Some(v) => v.as_f64().ok_or(field),
+        Some(v) => v.as_f64().or(leaves.then_some(default)).ok_or(field),
     };
     let cell = number("pod_group", 0.0)?;
-    if cell < 0.0 || cell > f64::from(u32::MAX) {
+    if !leaves && !(0.0..=f64::from(u32::MAX)).contains(&cell) {
         return Err("pod_group");
     }
     let entry = Entry {
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -5,6 +5,7 @@
 use daleturn::interface::Discovery;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
 
 const WAYS: [Discovery; 2] = [Discovery::Pushed, Discovery::OnRequest];
 /// Time for a connection and an answer that need not wait.
@@ -30,6 +31,10 @@
     }
 }
 
+fn whole(version: u64) -> Told {
+    Told { version, all: true, skipped: 0 }
+}
+
 fn changes(version: u64, skipped: usize) -> Told {
     Told { version, all: false, skipped }
 }
@@ -83,6 +88,116 @@
         let second = call(&mut asking, &mut now);
         prop_assert!(second.ask == Ask::Whole && now + WAY_MS < told, "{second:?} at {now}");
     }
+
+    /// Whole lists, changes, lines that cannot be read, resets and versions that count anew, in any order: once the
+    /// service is well, the list here is its list.
+    #[test]
+    fn every_change_arrives_whatever_came_before(
+        seed: u64, pushed: bool, steps in proptest::collection::vec((0_u8..8, 0_u64..5, any::<bool>()), 1..60),
+    ) {
+        let mut service = Service::default();
+        service.change(0, true);
+        let mut asking = Asking::new(WAYS[usize::from(!pushed)], 10_000.0, None, seed);
+        let mut here = BTreeMap::new();
+        let mut now = 0.0;
+        for (what, uid, up) in steps {
+            match what {
+                0..=3 => service.change(uid, up),
+                4 => service.unreadable = Some(uid),
+                5 => service.restart(),
+                _ => service.fails = true,
+            }
+            service.serve(&mut asking, &mut here, &mut now);
+        }
+        service.unreadable = None;
+        let end = now + 45_000.0;
+        while now < end {
+            service.serve(&mut asking, &mut here, &mut now);
+        }
+        prop_assert_eq!(here, service.all);
+    }
+}
+
+/// A discovery with a list of names, which are up or drain.
+#[derive(Default)]
+struct Service {
+    all: BTreeMap<u64, bool>,
+    changed: BTreeMap<u64, u64>,
+    version: u64,
+    /// Its line cannot be read.
+    unreadable: Option<u64>,
+    fails: bool,
+}
+
+impl Service {
+    fn change(&mut self, uid: u64, up: bool) {
+        self.version += 1;
+        self.all.insert(uid, up);
+        self.changed.insert(uid, self.version);
+    }
+
+    /// Counts anew.
+    fn restart(&mut self) {
+        self.version = 1;
+        self.changed = self.all.keys().map(|uid| (*uid, 1)).collect();
+    }
+
+    fn serve(&mut self, asking: &mut Asking, here: &mut BTreeMap<u64, bool>, now: &mut f64) {
+        let call = call(asking, now);
+        *now += WAY_MS;
+        if std::mem::take(&mut self.fails) {
+            asking.failed(*now, &call);
+            return;
+        }
+        let since = match call.ask {
+            Ask::Whole => None,
+            Ask::Changes { after, .. } => Some(after),
+        };
+        let told = |uid: &u64| since.is_none_or(|after| self.changed[uid] > after);
+        if since.is_some() && !self.all.keys().any(told) {
+            *now += wait(&call);
+        }
+        let lines: Vec<u64> = self.all.keys().copied().filter(told).collect();
+        let skipped = lines.iter().filter(|uid| self.unreadable == Some(**uid)).count();
+        let told = Told { version: self.version, all: since.is_none(), skipped };
+        if !asking.answered(*now, &call, told) {
+            return;
+        }
+        if told.all {
+            here.clear();
+        }
+        here.extend(
+            lines.iter().filter(|uid| self.unreadable != Some(**uid)).map(|uid| (*uid, self.all[uid])),
+        );
+    }
+}
+
+#[test]
+fn a_line_that_cannot_be_read_leads_to_whole_lists_at_a_pace_that_slows() {
+    for how in WAYS {
+        let mut asking = Asking::new(how, 10_000.0, Some(1), 3);
+        asking.wish(true);
+        let (mut now, mut at) = (0.0, Vec::new());
+        for version in 2..400 {
+            let call = call(&mut asking, &mut now);
+            now += 20.0;
+            let all = call.ask == Ask::Whole;
+            at.extend(all.then_some(now));
+            // Changes come all the time, and the same line is never right.
+            assert!(asking.answered(
+                now,
+                &call,
+                Told { version, all, skipped: usize::from(all || version == 2) }
+            ));
+            assert_eq!(asking.version(), None, "it is not the version of a list that is known whole");
+        }
+        assert!(at[0] < 200.0, "{how:?}: soon: {at:?}");
+        let last = at.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max);
+        assert!(at.len() < 20 && last > 1000.0, "{how:?}: and not without end: {at:?}");
+        let call = call(&mut asking, &mut now);
+        assert!(asking.answered(now, &call, whole(500)));
+        assert_eq!(asking.version(), Some(500));
+    }
 }
 
 #[test]
--- a/tests/node_discovery.rs
+++ b/tests/node_discovery.rs
@@ -139,6 +139,51 @@
     }
 }
 
+#[test]
+fn a_line_that_cannot_be_read_is_asked_for_again_and_hides_no_drain() {
+    for mode in MODES {
+        for state in ["draining", "leaving"] {
+            let record = Record::default();
+            let address = backends(1, &record, |_, _| ok(b"x"))[0];
+            let seen = Seen::default();
+            let up = seen.clone();
+            let (told, wholes) = (AtomicBool::new(false), Arc::new(AtomicUsize::new(0)));
+            let asked = wholes.clone();
+            let discovery = backend(&Record::default(), move |_, message| {
+                if !watches(message) {
+                    let first = wholes.fetch_add(1, SeqCst) == 0;
+                    let state = if first { "up" } else { "draining" };
+                    return Act::Say(list(
+                        if first { 1 } else { 2 },
+                        true,
+                        &[target("s-0", address, state)],
+                    ));
+                }
+                up.wait();
+                if told.swap(true, SeqCst) {
+                    return Act::Parts(vec![(100, list(2, false, &[]))]);
+                }
+                // Its place cannot be read, nor, at times, what has become of it.
+                let mut line = target("s-0", address, state);
+                line["endpoint"] = "nowhere".into();
+                line["pod_group"] = "four".into();
+                Act::Say(list(2, false, &[line]))
+            });
+            let node = node(discovery, mode, &seen);
+            wait_for("the drain is known", || node.up() == 503);
+            if state == "draining" {
+                assert_eq!(
+                    node.logged("discovery.entry_skipped"),
+                    0,
+                    "{mode}: what says that it leaves is enough"
+                );
+            } else {
+                assert!(asked.load(SeqCst) > 1, "{mode}: the whole list tells");
+            }
+        }
+    }
+}
+
 #[test]
 fn what_the_old_address_still_says_changes_nothing_any_more() {
     for mode in MODES {
