Ask whether a send still stands in one place, right before its first byte

Cause: a repeat was allowed by its window, then waited for a connection, and went out after the window had ended; the node's own check asked only for the backend and the answer.

Change: Balancer::bars is the last look and shares its terms with may_send; Upstream::connection asks it after every wait, for attempts and probes alike, and is the only source of connections.

The test over sockets fails on the build before. Probes share the place; no test forces a drain within a probe's 250 ms.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Backends as this node knows them, requests that are open and their attempts: who was sent what, and what has come
 //! back. It decides nothing.
 
-use crate::interface::{BackendId, Request};
+use crate::interface::{Action, BackendId, Request};
 use crate::measure::Pressure;
 use crate::policy::{Cap, Record};
 
@@ -74,8 +74,21 @@
         self.attempts.iter().any(|a| a.out)
     }
 
+    /// Calls off the attempts that are out and that `which` is true of.
+    pub(crate) fn cancel(&self, which: impl Fn(&Attempt) -> bool) -> impl Iterator<Item = Action> {
+        let id = self.request.id;
+        let attempts = self.attempts.iter().enumerate().filter(move |(_, a)| a.out && which(a));
+        attempts.map(move |(n, _)| Action::Cancel { id, attempt: n as u32 })
+    }
+
     /// The first attempt that may have run.
     pub(crate) fn may_have_run(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| !a.never_ran)
+        self.may_have_run_beside(usize::MAX)
+    }
+
+    /// The same of all attempts but one.
+    pub(crate) fn may_have_run_beside(&self, attempt: usize) -> Option<&Attempt> {
+        let others = self.attempts.iter().enumerate().filter(|(n, _)| *n != attempt);
+        others.map(|(_, a)| a).find(|a| !a.never_ran)
     }
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -820,7 +820,7 @@
         let errand = Errand { backend, address: place.address, call: open.call.clone(), timeout };
         let driver = self.clone();
         spawn_local(async move {
-            let wanted = || driver.stands(id, errand.backend);
+            let bars = || driver.bars(&errand, id, attempt);
             let started = |reply, took: Duration| {
                 let elapsed_ms = took.as_secs_f64() * 1000.0;
                 driver.take(Input::Started { id, attempt, backend, reply: Some(reply), elapsed_ms });
@@ -828,7 +828,7 @@
             let (finish, conn) = tokio::select! {
                 biased;
                 _ = &mut called_off => (Outcome::Cancelled.into(), None),
-                end = driver.upstream.attempt(&errand, wanted, started) => end,
+                end = driver.upstream.attempt(&errand, bars, started) => end,
             };
             if let (Some(took), Some(_)) = (finish.took, &finish.reply) {
                 let elapsed_ms = took.as_secs_f64() * 1000.0;
@@ -842,17 +842,22 @@
 
     /// Keeps a connection unless its backend has drained, gone or moved meanwhile.
     fn keep(&self, backend: BackendId, address: SocketAddr, conn: Option<Conn>) {
-        let core = self.core.borrow();
-        let same = core.places.get(&backend).is_some_and(|p| p.up && p.address == address);
-        if let Some(conn) = conn.filter(|_| same) {
+        if let Some(conn) = conn.filter(|_| self.strays(backend, address).is_none()) {
             self.upstream.keep(backend, conn);
         }
     }
 
-    fn stands(&self, id: RequestId, backend: BackendId) -> bool {
+    /// The last look at an attempt: how it ends unsent, if it must not go.
+    fn bars(&self, errand: &Errand, id: RequestId, attempt: u32) -> Option<Outcome> {
+        self.strays(errand.backend, errand.address)
+            .or_else(|| self.core.borrow().balancer.bars(self.clock.now_ms(), id, attempt))
+    }
+
+    /// Whoever is connected there is not, or not any more, the backend that is meant.
+    fn strays(&self, backend: BackendId, address: SocketAddr) -> Option<Outcome> {
         let core = self.core.borrow();
-        core.places.get(&backend).is_some_and(|p| p.up)
-            && core.open.get(&id).is_some_and(|o| o.owed.is_some())
+        let here = core.places.get(&backend).is_some_and(|p| p.up && p.address == address);
+        (!here).then_some(Outcome::NotConnected)
     }
 
     fn probe(self: &Rc<Self>, core: &Core, backend: BackendId) {
@@ -863,7 +868,9 @@
         let driver = self.clone();
         let begun = Instant::now();
         spawn_local(async move {
-            let (finish, conn) = driver.upstream.probe(backend, address, driver.probe_path.get()).await;
+            let bars = || driver.strays(backend, address);
+            let (finish, conn) =
+                driver.upstream.probe(backend, address, driver.probe_path.get(), bars).await;
             driver.take(Input::Probed(backend, finish, begun.elapsed().as_secs_f64() * 1000.0));
             driver.keep(backend, address, conn);
         });
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -322,7 +322,8 @@
         }
     }
 
-    /// A connection to the backend, by `until` at the latest.
+    /// A connection to the backend, by `until` at the latest, on which a request may go out at once: `bars` is asked
+    /// here and nowhere else, after every wait. Nothing is sent on a connection that does not come from here.
     ///
     /// Where this node itself has no descriptor for one, the attempt is not made: `NotConnected` would
     /// blame the backends, and all of them would be held for dead.
@@ -331,10 +332,16 @@
         backend: BackendId,
         address: SocketAddr,
         until: Instant,
+        bars: impl Fn() -> Option<Outcome>,
     ) -> Result<Conn, Outcome> {
-        if let Some(conn) = self.take_idle(backend) {
-            return Ok(conn);
-        }
+        let conn = match self.take_idle(backend) {
+            Some(conn) => conn,
+            None => self.connect(address, until).await?,
+        };
+        bars().map_or(Ok(conn), Err)
+    }
+
+    async fn connect(&self, address: SocketAddr, until: Instant) -> Result<Conn, Outcome> {
         let limit = || self.connect_limit.get().min(until.saturating_duration_since(Instant::now()));
         let slot = tokio::time::timeout(limit(), self.descriptors.take()).await;
         let slot = slot.map_err(|_| Outcome::Skipped)?;
@@ -347,25 +354,21 @@
         }
     }
 
-    /// Sends one attempt and waits for its end. `wanted` says whether request and backend still stand. A long
-    /// answer is handed to `started` with its first bytes and passed on from there. A connection that may be
-    /// kept comes back.
+    /// Sends one attempt and waits for its end. `bars` says, right before the first byte, whether and how it ends
+    /// unsent. A long answer is handed to `started` with its first bytes and passed on from there. A connection
+    /// that may be kept comes back.
     pub async fn attempt(
         self: &Rc<Self>,
         errand: &Errand,
-        wanted: impl Fn() -> bool,
+        bars: impl Fn() -> Option<Outcome>,
         started: impl FnOnce(Reply, Duration),
     ) -> (Finish, Option<Conn>) {
         let begun = Instant::now();
         let until = errand.connect_until(begun);
-        let mut conn = match self.connection(errand.backend, errand.address, until).await {
+        let mut conn = match self.connection(errand.backend, errand.address, until, bars).await {
             Ok(conn) => conn,
             Err(outcome) => return (outcome.into(), None),
         };
-        // The handshake took time: a drain told meanwhile holds for this send too.
-        if !wanted() {
-            return (Outcome::NotConnected.into(), None);
-        }
         let written = conn.socket.written();
         let left = until.saturating_duration_since(Instant::now());
         let request = errand.call.request(errand.address, left);
@@ -464,9 +467,10 @@
         backend: BackendId,
         address: SocketAddr,
         path: &'static str,
+        bars: impl Fn() -> Option<Outcome>,
     ) -> (Finish, Option<Conn>) {
         let until = Instant::now() + PROBE_LIMIT;
-        let mut conn = match self.connection(backend, address, until).await {
+        let mut conn = match self.connection(backend, address, until, bars).await {
             Ok(conn) => conn,
             Err(outcome) => return (outcome.into(), None),
         };
--- a/src/policy/gates.rs
+++ b/src/policy/gates.rs
@@ -1,15 +1,34 @@
 //! The gate of every send, and what it goes by: the operators' four rules, whatever the picking wants.
 
 use super::Balancer;
-use crate::interface::{Class, Effect, Group, Outcome, Settings};
-use crate::ledger::Open;
+use crate::interface::{Class, Effect, Group, Outcome, RequestId, Settings};
+use crate::ledger::{Backend, Open};
 
 impl Balancer {
     /// The gate of every send: the four rules, whatever the picking wants.
     pub(super) fn may_send(&self, now: f64, open: &Open, index: usize) -> bool {
         let b = &self.backends[index];
-        let class = self.s.classes.get(open.request.class);
-        let effect_kept = match (open.may_have_run(), self.s.effect(open.request.class)) {
+        (open.attempts.len() as u32) < self.s.max_attempts
+            && (self.s.second_copies || !open.out())
+            && (now - b.cold_since >= self.s.cold_ms || b.cold_tokens + self.cold_gain(now, index) >= 1.0)
+            && self.stands(now, open, usize::MAX, b)
+    }
+
+    /// The last look, after every wait and right before an attempt's first byte: none where it goes, else how it
+    /// ends unsent.
+    pub fn bars(&self, now: f64, id: RequestId, attempt: u32) -> Option<Outcome> {
+        let Some(open) = self.open.get(&id) else { return Some(Outcome::Skipped) };
+        let n = attempt as usize;
+        let backend = open.attempts.get(n).and_then(|a| self.find(a.backend)).map(|i| &self.backends[i]);
+        let Some(b) = backend.filter(|b| b.up) else { return Some(Outcome::NotConnected) };
+        (!self.stands(now, open, n, b)).then_some(Outcome::Skipped)
+    }
+
+    /// What may end while an attempt waits for its connection: its backend's stay, its client's, its time, and
+    /// the window of a repeat.
+    fn stands(&self, now: f64, open: &Open, attempt: usize, b: &Backend) -> bool {
+        let window = self.s.classes.get(open.request.class).map_or(0.0, |c| c.key_ttl_ms);
+        let effect_kept = match (open.may_have_run_beside(attempt), self.s.effect(open.request.class)) {
             (None, _) | (Some(_), Effect::Safe) => true,
             (Some(_), Effect::Unsafe) => false,
             (Some(a), Effect::Keyed(group)) => {
@@ -18,19 +37,10 @@
                     Group::Zone => a.zone == b.zone,
                     Group::Cell => a.cell == b.cell,
                 };
-                same && now < a.sent + class.map_or(0.0, |c: &Class| c.key_ttl_ms)
+                same && now < a.sent + window
             }
         };
-        let copies_kept = self.s.second_copies || !open.out();
-        let cold_kept =
-            now - b.cold_since >= self.s.cold_ms || b.cold_tokens + self.cold_gain(now, index) >= 1.0;
-        !open.finished
-            && now < open.request.deadline_ms
-            && (open.attempts.len() as u32) < self.s.max_attempts
-            && b.up
-            && effect_kept
-            && copies_kept
-            && cold_kept
+        !open.finished && now < open.request.deadline_ms && b.up && effect_kept
     }
 }
 
--- a/src/policy/near.rs
+++ b/src/policy/near.rs
@@ -59,13 +59,9 @@
         self.zones = weights;
         self.place(now);
         let first = out.len();
-        for (id, open) in self.open.iter().filter(|o| self.s.may_cancel && !o.1.finished) {
+        for open in self.open.values().filter(|o| self.s.may_cancel && !o.finished) {
             let safe = self.s.effect(open.request.class) == Effect::Safe;
-            for (n, _) in
-                open.attempts.iter().enumerate().filter(|(_, a)| safe && a.out && self.left(a.zone))
-            {
-                out.push(Action::Cancel { id: *id, attempt: n as u32 });
-            }
+            out.extend(open.cancel(|a| safe && self.left(a.zone)));
         }
         // A map has no order that another process would find again.
         out[first..].sort_by_key(|a| if let Action::Cancel { id, .. } = a { id.0 } else { 0 });
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -2,8 +2,7 @@
 
 use super::{Balancer, cold, gates};
 use crate::interface::{Found, RequestId};
-use crate::ledger::Backend;
-use crate::ledger::Open;
+use crate::ledger::{Backend, Open};
 use crate::measure::mix;
 
 /// Pressure up to which a backend is at ease.
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -109,9 +109,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         open.finished = true;
         if self.s.may_cancel {
-            for (n, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.out) {
-                out.push(Action::Cancel { id, attempt: n as u32 });
-            }
+            out.extend(open.cancel(|_| true));
         }
         if !open.out() {
             self.open.remove(&id);
--- /dev/null
+++ b/tests/node_endings.rs
@@ -0,0 +1,84 @@
+//! The instant in which something ends while something else is still owed: drains and repeat windows that end in a
+//! handshake, clients that leave while they wait, closes that cross a request or an answer.
+mod node;
+
+use node::*;
+use socket2::{Domain, Socket, Type};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::time::{Duration, Instant};
+
+/// A backend whose queue is full: no connection comes up until the one in it is taken out.
+struct Stuck {
+    socket: Socket,
+    address: SocketAddr,
+    filler: Client,
+}
+
+impl Stuck {
+    fn new() -> Stuck {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&loopback(0).into()).unwrap();
+        socket.listen(0).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        Stuck { filler: Client::connect(address), socket, address }
+    }
+
+    fn wait_for_handshake(&self) {
+        wait_for("a handshake is under way", || tcp_state(self.address, SYN_SENT));
+    }
+
+    /// Lets the handshake end; gives all that is then written on that connection.
+    fn let_in(self) -> String {
+        let (first, _) = self.socket.accept().unwrap();
+        drop((first, self.filler));
+        let (mut second, _) = self.socket.accept().unwrap();
+        second.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut bytes = Vec::new();
+        second.read_to_end(&mut bytes).expect("the node ends it");
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+/// Settings in which nothing ends by itself while a test lasts.
+fn patient(config: &mut serde_json::Value) {
+    config["settings"]["limits"]["connectTimeoutMs"] = 60_000.into();
+    for class in config["settings"]["classes"].as_array_mut().unwrap() {
+        class["objectiveMs"] = 60_000.into();
+        class["hardLimitMs"] = 60_000.into();
+    }
+}
+
+#[test]
+fn a_repeat_window_that_ends_in_the_handshake_stops_the_send() {
+    let record = Record::default();
+    let stuck = Stuck::new();
+    let go = Arc::new(AtomicBool::new(false));
+    let may_end = go.clone();
+    // It takes the request, which may have run, and breaks off once the other one is known.
+    let first = backend(&record, move |_, _| {
+        wait_for("the other backend is known", || may_end.load(SeqCst));
+        Act::SayAndClose(Vec::new())
+    });
+    let discovery = Discovery::start(vec![target("s-0", first, "up")]);
+    const WINDOW: Duration = Duration::from_millis(1500);
+    let node = Node::start(discovery.address, |c| {
+        patient(c);
+        c["settings"]["classes"][2]["keyTtlMs"] = (WINDOW.as_millis() as u64).into();
+    });
+    let mut client = Client::connect(node.address);
+    let begun = Instant::now();
+    assert!(client.send(&request("pay", 60_000)));
+    wait_for("the first attempt", || record.count() == 1);
+    discovery.set(vec![target("s-0", first, "up"), target("s-1", stuck.address, "up")]);
+    wait_for("both are listed", || node.call("stats").contains("s-1"));
+    go.store(true, SeqCst);
+    stuck.wait_for_handshake();
+    wait_for("the window is over", || begun.elapsed() > WINDOW);
+    let sent = stuck.let_in();
+    assert!(sent.is_empty(), "sent again outside its window: {sent}");
+    assert_eq!(client.answer().unwrap().status(), 503);
+    assert_eq!(record.count(), 1);
+}
