Notice a client that has gone behind bytes that nobody has read

Cause, found on review: with a byte of a further request read, or a body unread, the connection's end was not looked for, and a request that waited for its connection was sent on for a client that had gone.

Ruled out: plain closes, resets and half-closed connections, which were noticed (docs/findings/client-left-unread.md).

Change: a connection with an open request is asked each 0.1 s whether the other side has ended; behind a whole request what comes is read ahead, 32 KiB kept, the rest dropped and the connection closed after its answer.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -44,8 +44,9 @@
 /// Time for a connection's first head to be read, from when it came: a peer that says nothing, or not enough, is
 /// closed or told so within three seconds.
 const FIRST_HEAD: Duration = Duration::from_millis(2500);
-/// How often a connection is looked at for that.
+/// How often a connection is looked at for that, and while a request is open on it.
 const LOOK: Duration = Duration::from_millis(250);
+const LOOK_BUSY: Duration = Duration::from_millis(100);
 /// Time for a body of which nothing comes, from the head or, on a connection's first request, from when it came.
 const BODY_TIME: Duration = Duration::from_millis(2800);
 /// And the time that each byte of it is good for besides: half the pace that clients are allowed.
@@ -97,6 +98,8 @@
     /// Has had a request answered.
     asked: Cell<bool>,
     busy: Cell<bool>,
+    /// The request that is open on it was read to its end.
+    whole: Cell<bool>,
     idle_since: Cell<Instant>,
     /// Bytes read when it last turned idle.
     read: Cell<u64>,
@@ -124,6 +127,14 @@
         seen.elapsed() > limit
     }
 
+    /// Whoever has gone is not there for the answer, whatever of theirs is still to be read.
+    fn left(&self) -> bool {
+        if self.whole.get() {
+            self.socket.read_ahead();
+        }
+        self.busy.get() && self.socket.left()
+    }
+
     /// Owes a request, or the rest of one, for longer than anybody waits for it.
     fn overdue(&self) -> bool {
         let silent = !self.asked.get() && !self.busy.get() && self.since.elapsed() > FIRST_HEAD;
@@ -167,6 +178,7 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.whole.set(false);
         self.0.moved.set(None);
         self.0.asked.set(true);
         self.0.idle_since.set(Instant::now());
@@ -411,6 +423,7 @@
             since: Instant::now(),
             asked: Cell::new(false),
             busy: Cell::new(false),
+            whole: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             read: Cell::new(0),
             stuck_since: Cell::new(None),
@@ -437,11 +450,12 @@
                 .serve_connection(TokioIo::new(socket), service)
         );
         loop {
+            let look = if client.busy.get() { LOOK_BUSY } else { LOOK };
             tokio::select! {
                 // Errors are the client's: gone, or not speaking the protocol and told so.
                 _ = connection.as_mut() => return,
-                () = tokio::time::sleep(LOOK) => {
-                    if client.overdue() {
+                () = tokio::time::sleep(look) => {
+                    if client.overdue() || client.left() {
                         return;
                     }
                 }
@@ -481,7 +495,7 @@
         } else {
             turn_away(&client, arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
         };
-        if self.mode.get() != Mode::Serving {
+        if self.mode.get() != Mode::Serving || client.socket.flooded() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -493,8 +507,9 @@
         Reading { asked, rules, call, arrived, wait }: Reading,
     ) -> Response<Sent> {
         let upload = call.upload.clone();
-        if upload.is_some() {
-            busy.0.carries_long();
+        match upload {
+            Some(_) => busy.0.carries_long(),
+            None => busy.0.whole.set(true),
         }
         let answer = if self.driver.open() >= rules.settings.open_cap as usize {
             self.driver.turned_away(rules.names.class_name(asked.class));
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -1,13 +1,15 @@
 //! One TCP socket that counts what goes through it, and the count of all of them against the limit.
 
 use crate::framing::Framing;
+use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -15,6 +17,12 @@
 /// connection just accepted.
 pub const UNCOUNTED: usize = 24;
 
+/// Of one that goes on sending behind an open request so much is read at a time ...
+const MOST_UNREAD: usize = 4 * 1024 * 1024;
+const UNREAD_PIECE: usize = 16 * 1024;
+/// ... and so much is kept.
+const AHEAD: usize = 32 * 1024;
+
 /// Closes something idle. True: a descriptor was freed at once; false: none was, or it will be soon.
 type Reclaim = Box<dyn Fn() -> bool>;
 
@@ -107,6 +115,9 @@
     stream: TcpStream,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// Read, and not taken yet.
+    ahead: RefCell<BytesMut>,
+    flooded: Cell<bool>,
     /// Of a client: requests come in, and what frames them is looked at.
     framing: Option<RefCell<Framing>>,
     _slot: Slot,
@@ -130,7 +141,8 @@
     fn with(stream: TcpStream, slot: Slot, framing: Option<RefCell<Framing>>) -> Socket {
         // Without this small answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.set_nodelay(true);
-        Socket(Rc::new(Inner { stream, read: Cell::new(0), written: Cell::new(0), framing, _slot: slot }))
+        let (read, written, ahead, flooded) = Default::default();
+        Socket(Rc::new(Inner { stream, read, written, ahead, flooded, framing, _slot: slot }))
     }
 
     /// Bytes read so far.
@@ -158,8 +170,44 @@
         let _ = socket2::SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO));
     }
 
+    /// The other side has ended its sending or broken off, as far as the poller has heard: also behind bytes that
+    /// nobody has read yet.
+    pub fn left(&self) -> bool {
+        let mut ready = pin!(self.0.stream.ready(Interest::READABLE));
+        match ready.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
+    /// Reads what has come behind a request that is open, so that its client's end is noticed behind that: what fits
+    /// is kept for later. Of more than a request or two the rest is dropped, and nothing that follows can be made
+    /// sense of.
+    pub fn read_ahead(&self) {
+        let mut ahead = self.0.ahead.borrow_mut();
+        for _ in 0..MOST_UNREAD / UNREAD_PIECE {
+            let room = AHEAD.saturating_sub(ahead.len()).min(UNREAD_PIECE);
+            let mut piece = [0; UNREAD_PIECE];
+            let into = if room > 0 { &mut piece[..room] } else { &mut piece[..] };
+            match self.0.stream.try_read(into) {
+                Ok(n) if n > 0 && room > 0 => ahead.extend_from_slice(&into[..n]),
+                Ok(n) if n > 0 => self.0.flooded.set(true),
+                Ok(_) | Err(_) => return,
+            }
+        }
+    }
+
+    /// Part of what came was dropped: after the answer that is due it has to be closed.
+    pub fn flooded(&self) -> bool {
+        self.0.flooded.get()
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
+        if !self.0.ahead.borrow().is_empty() {
+            return false;
+        }
         let mut byte = [std::mem::MaybeUninit::uninit()];
         let peeked = socket2::SockRef::from(&self.0.stream).peek(&mut byte);
         matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
@@ -172,16 +220,24 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let mut ahead = self.0.ahead.borrow_mut();
+        if !ahead.is_empty() {
+            let n = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead.split_to(n));
+            self.taken(&buf.filled()[before..]);
+            return Poll::Ready(Ok(()));
+        }
+        if self.0.flooded.get() {
+            // Something is missing here. It will be closed.
+            return Poll::Pending;
+        }
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match self.0.stream.try_read(buf.initialize_unfilled()) {
                 Ok(n) => {
                     buf.advance(n);
-                    if let Some(framing) = &self.0.framing {
-                        let from = buf.filled().len() - n;
-                        framing.borrow_mut().feed(&buf.filled()[from..]);
-                    }
-                    self.0.read.set(self.0.read.get() + n as u64);
+                    self.taken(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -192,6 +248,13 @@
 }
 
 impl Socket {
+    fn taken(&self, bytes: &[u8]) {
+        if let Some(framing) = &self.0.framing {
+            framing.borrow_mut().feed(bytes);
+        }
+        self.0.read.set(self.0.read.get() + bytes.len() as u64);
+    }
+
     fn poll_counted(
         &self,
         cx: &mut Context<'_>,
--- a/tests/node_endings.rs
+++ b/tests/node_endings.rs
@@ -3,9 +3,9 @@
 mod node;
 
 use node::*;
-use socket2::{Domain, Socket, Type};
-use std::io::Read;
-use std::net::SocketAddr;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::{Duration, Instant};
@@ -82,3 +82,90 @@
     assert_eq!(client.answer().unwrap().status(), 503);
     assert_eq!(record.count(), 1);
 }
+
+/// How a client goes whose request waits for a connection.
+#[derive(Clone, Copy, Debug)]
+enum Leaves {
+    Closes,
+    Resets,
+    EndsItsSending,
+    ClosesBehindAnotherRequest,
+    ResetsBehindAnotherRequest,
+    ClosesWithinItsBody,
+    ResetsWithinItsBody,
+    ClosesBehindAFlood,
+}
+
+impl Leaves {
+    const ALL: [Leaves; 8] = [
+        Leaves::Closes,
+        Leaves::Resets,
+        Leaves::EndsItsSending,
+        Leaves::ClosesBehindAnotherRequest,
+        Leaves::ResetsBehindAnotherRequest,
+        Leaves::ClosesWithinItsBody,
+        Leaves::ResetsWithinItsBody,
+        Leaves::ClosesBehindAFlood,
+    ];
+
+    fn sent_before(self) -> Vec<u8> {
+        let mut bytes = request("page", 60_000);
+        match self {
+            Leaves::ClosesBehindAnotherRequest | Leaves::ResetsBehindAnotherRequest => {
+                bytes.extend(request("page", 60_000));
+            }
+            Leaves::ClosesWithinItsBody | Leaves::ResetsWithinItsBody => {
+                let head = "POST /api HTTP/1.1\r\nHost: n\r\nX-Trace-Id: 9b\r\nX-Qos: bid\r\nX-Expires-In-Ms: 60000\r\n\
+                    Content-Length: 900000\r\n\r\n";
+                bytes = head.into();
+                bytes.resize(head.len() + 150_000, b'x');
+            }
+            Leaves::ClosesBehindAFlood => bytes.resize(200_000, b'x'),
+            _ => {}
+        }
+        bytes
+    }
+
+    fn leave(self, stream: TcpStream) {
+        match self {
+            Leaves::EndsItsSending => stream.shutdown(Shutdown::Write).unwrap(),
+            Leaves::Resets | Leaves::ResetsBehindAnotherRequest | Leaves::ResetsWithinItsBody => {
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            }
+            _ => {}
+        }
+        if matches!(self, Leaves::EndsItsSending) {
+            // It stays open the other way, for as long as the node does not end it.
+            let mut rest = Vec::new();
+            stream.set_read_timeout(Some(PATIENCE)).unwrap();
+            let _ = (&stream).read_to_end(&mut rest);
+            assert!(rest.is_empty(), "{}", String::from_utf8_lossy(&rest));
+        }
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_request_waits_takes_it_along() {
+    for way in Leaves::ALL {
+        let stuck = Stuck::new();
+        let discovery = Discovery::start(vec![target("s-0", stuck.address, "up")]);
+        let node = Node::start(discovery.address, patient);
+        let before = node.descriptors();
+        let mut client = TcpStream::connect(node.address).unwrap();
+        // What the node does not read the system takes, as far as it does.
+        client.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+        let bytes = way.sent_before();
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match client.write(&bytes[sent..]) {
+                Ok(n) => sent += n,
+                Err(_) => break,
+            }
+        }
+        stuck.wait_for_handshake();
+        way.leave(client);
+        wait_for(&format!("{way:?}: its handshake is given up"), || !tcp_state(stuck.address, SYN_SENT));
+        wait_for(&format!("{way:?}: its descriptors are free"), || node.descriptors() <= before);
+        assert!(node.call("stats").contains("\"open\":0"), "{way:?}: {}", node.call("stats"));
+    }
+}
