End a connection after its last answer by reading on, not by a reset

Cause, found on review: closing over unread bytes resets, and what the system still held of the last answer was lost.

Ruled out: held-back small writes (TCP_NODELAY stood everywhere but at operators' connections, where it stands now).

Change: after the last answer the node ends its sending, reads on without keeping anything, 0.5 s and 4 MiB at most, and closes then; its place under pressure is given up earlier. Cut downloads still end by a reset.

--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -162,6 +162,7 @@
     }
 
     async fn converse(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
         let line = tokio::time::timeout(CALL_TIME, line(&mut stream)).await;
         let line = line.unwrap_or(Err(CallError::Late(CALL_TIME.as_secs())));
         let call = line.as_deref().map_err(ToString::to_string);
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -47,6 +47,8 @@
 /// How often a connection is looked at for that, and while a request is open on it.
 const LOOK: Duration = Duration::from_millis(250);
 const LOOK_BUSY: Duration = Duration::from_millis(100);
+/// Time after the last answer of a connection for its client to read it and to end the connection, too.
+const LINGER: Duration = Duration::from_millis(500);
 /// Time for a body of which nothing comes, from the head or, on a connection's first request, from when it came.
 const BODY_TIME: Duration = Duration::from_millis(2800);
 /// And the time that each byte of it is good for besides: half the pace that clients are allowed.
@@ -449,11 +451,12 @@
                 .max_buf_size(BUFFER)
                 .serve_connection(TokioIo::new(socket), service)
         );
+        let mut resting = false;
         loop {
             let look = if client.busy.get() { LOOK_BUSY } else { LOOK };
             tokio::select! {
                 // Errors are the client's: gone, or not speaking the protocol and told so.
-                _ = connection.as_mut() => return,
+                _ = connection.as_mut() => break,
                 () = tokio::time::sleep(look) => {
                     if client.overdue() || client.left() {
                         return;
@@ -465,11 +468,26 @@
                         return;
                     }
                     if client.idle() {
+                        resting = true;
                         connection.as_mut().graceful_shutdown();
                     }
                 }
             }
         }
+        // No answer is under way on one that rested, and its client asks again elsewhere.
+        if !resting {
+            let wanted = async {
+                client.close.notified().await;
+                while !client.socket.quiet() {
+                    client.close.notified().await;
+                }
+            };
+            tokio::select! {
+                _ = tokio::time::timeout(LINGER, client.socket.farewell()) => {}
+                // Its place is wanted, and nothing is unread.
+                () = wanted => {}
+            }
+        }
     }
 
     async fn respond(&self, busy: Busy, request: Request<Incoming>) -> Response<Sent> {
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -17,7 +17,7 @@
 /// connection just accepted.
 pub const UNCOUNTED: usize = 24;
 
-/// Of one that goes on sending behind an open request so much is read at a time ...
+/// Of one that goes on sending behind an open request, or after its last answer, so much is read at a time ...
 const MOST_UNREAD: usize = 4 * 1024 * 1024;
 const UNREAD_PIECE: usize = 16 * 1024;
 /// ... and so much is kept.
@@ -115,6 +115,8 @@
     stream: TcpStream,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// It has to end by a reset.
+    cut: Cell<bool>,
     /// Read, and not taken yet.
     ahead: RefCell<BytesMut>,
     flooded: Cell<bool>,
@@ -141,8 +143,8 @@
     fn with(stream: TcpStream, slot: Slot, framing: Option<RefCell<Framing>>) -> Socket {
         // Without this small answers wait for acknowledgements; a socket that refuses it still works.
         let _ = stream.set_nodelay(true);
-        let (read, written, ahead, flooded) = Default::default();
-        Socket(Rc::new(Inner { stream, read, written, ahead, flooded, framing, _slot: slot }))
+        let (read, written, cut, ahead, flooded) = Default::default();
+        Socket(Rc::new(Inner { stream, read, written, cut, ahead, flooded, framing, _slot: slot }))
     }
 
     /// Bytes read so far.
@@ -167,6 +169,7 @@
 
     /// Whoever reads from it will not take the close for a regular end.
     pub fn reset_on_close(&self) {
+        self.0.cut.set(true);
         let _ = socket2::SockRef::from(&self.0.stream).set_linger(Some(Duration::ZERO));
     }
 
@@ -203,6 +206,24 @@
         self.0.flooded.get()
     }
 
+    /// Ends the sending, and reads on without keeping anything until the other side has ended its own: a close over
+    /// unread bytes resets, and the answer under way would be lost. The caller bounds the time.
+    pub async fn farewell(&self) {
+        if self.0.cut.get() {
+            return;
+        }
+        let _ = socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
+        let (mut rest, mut left) = ([0; UNREAD_PIECE], MOST_UNREAD);
+        while left > 0 && self.0.stream.readable().await.is_ok() {
+            match self.0.stream.try_read(&mut rest) {
+                Ok(0) => return,
+                Ok(n) => left = left.saturating_sub(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         if !self.0.ahead.borrow().is_empty() {
--- a/tests/node_endings.rs
+++ b/tests/node_endings.rs
@@ -4,7 +4,7 @@
 
 use node::*;
 use socket2::{Domain, SockRef, Socket, Type};
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
@@ -169,3 +169,30 @@
         assert!(node.call("stats").contains("\"open\":0"), "{way:?}: {}", node.call("stats"));
     }
 }
+
+#[test]
+fn an_answer_is_not_destroyed_by_a_close_over_unread_bytes() {
+    let record = Record::default();
+    let body: Vec<u8> = (0..=255_u8).cycle().take(60_000).collect();
+    let sent = body.clone();
+    let addresses = backends(1, &record, move |_, _| ok(&sent));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    assert_eq!(ask(node.address, &request("page", 4000)).status(), 200);
+    let before = node.descriptors();
+    // A client that takes little at a time, and has more to say than anybody reads.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    let mut client = TcpStream::from(socket);
+    client.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    let text = String::from_utf8(request("page", 4000)).unwrap();
+    let mut bytes = text.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n").into_bytes();
+    bytes.resize(400_000, b'x');
+    let _ = client.write_all(&bytes);
+    wait_for("the node has closed", || node.descriptors() <= before);
+    let answer = Message::read(&mut BufReader::new(client)).expect("a whole answer");
+    assert_eq!(answer.status(), 200);
+    assert!(answer.body == body, "{} bytes of it", answer.body.len());
+}
