Refuse what comes in a process's last moments, which was sent on and lost

Cause, found on review: after failing what was open a stopping node took requests for another 0.1 s, sent them on and ended; an accept loop that was given up by time went on as a task.

Change: from that moment the node refuses at once and accepts nobody.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -332,7 +332,7 @@
     let listener = listener.listen(BACKLOG).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     handover.serves();
     say!(INFO, "node", name = config.name.as_str(), listen = %config.listen, ?settings, "node.serving");
-    let accepting = {
+    let mut accepting = {
         let server = server.clone();
         spawn_local(async move { server.accept(listener).await })
     };
@@ -357,10 +357,11 @@
         peers.leave();
     }
     // Whatever became of the accept loop, what was taken is answered.
-    let _ = tokio::time::timeout_at(end.into(), accepting).await;
+    if tokio::time::timeout_at(end.into(), &mut accepting).await.is_err() {
+        accepting.abort();
+    }
     server.wind_down(end).await;
-    // Better failed than lost: what is still open would be cut by the end of the process.
-    driver.end_all();
+    server.end();
     server.wind_down(Instant::now() + FAREWELL).await;
     if let Some(durable) = durable {
         durable.close();
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -214,6 +214,8 @@
     Stopping(Instant),
     /// The same, where another process of this node takes the clients.
     Succeeded,
+    /// Out of time: what still comes is refused at once, or it would be lost with the process.
+    Over,
 }
 
 /// The client side of the node.
@@ -355,10 +357,16 @@
         self.stop.notify_one();
     }
 
+    /// From now on nothing that comes is taken, and what is open has failed: better than lost.
+    pub fn end(&self) {
+        self.mode.set(Mode::Over);
+        self.driver.end_all();
+    }
+
     fn stopping(&self) -> Option<Instant> {
         match self.mode.get() {
             Mode::Stopping(since) => Some(since),
-            Mode::Starting | Mode::Serving | Mode::Quiesced | Mode::Succeeded => None,
+            Mode::Starting | Mode::Serving | Mode::Quiesced | Mode::Succeeded | Mode::Over => None,
         }
     }
 
@@ -373,7 +381,7 @@
             Mode::Starting => "starting",
             Mode::Serving => "serving",
             Mode::Quiesced => "quiesced",
-            Mode::Stopping(_) | Mode::Succeeded => "stopping",
+            Mode::Stopping(_) | Mode::Succeeded | Mode::Over => "stopping",
         }
     }
 
@@ -383,7 +391,7 @@
             Mode::Serving => Ok("serving"),
             Mode::Quiesced => Ok("quiesced, serves who still comes"),
             Mode::Starting => Err(STARTING),
-            Mode::Stopping(_) | Mode::Succeeded => Err(STOPPING),
+            Mode::Stopping(_) | Mode::Succeeded | Mode::Over => Err(STOPPING),
         }
     }
 
@@ -391,7 +399,7 @@
     pub fn quiesce(self: &Rc<Self>) -> Result<String, &'static str> {
         match self.mode.get() {
             Mode::Starting => return Err(STARTING),
-            Mode::Stopping(_) | Mode::Succeeded => return Err(STOPPING),
+            Mode::Stopping(_) | Mode::Succeeded | Mode::Over => return Err(STOPPING),
             Mode::Quiesced => {}
             Mode::Serving => {
                 self.mode.set(Mode::Quiesced);
@@ -411,7 +419,7 @@
     pub fn resume(&self) -> Result<String, &'static str> {
         match self.mode.get() {
             Mode::Starting => return Err(STARTING),
-            Mode::Stopping(_) | Mode::Succeeded => return Err(STOPPING),
+            Mode::Stopping(_) | Mode::Succeeded | Mode::Over => return Err(STOPPING),
             Mode::Quiesced => self.mode.set(Mode::Serving),
             Mode::Serving => {}
         }
@@ -529,7 +537,8 @@
             Some(_) => busy.0.carries_long(),
             None => busy.0.whole.set(true),
         }
-        let answer = if self.driver.open() >= rules.settings.open_cap as usize {
+        let full = self.driver.open() >= rules.settings.open_cap as usize;
+        let answer = if full || self.mode.get() == Mode::Over {
             self.driver.turned_away(rules.names.class_name(asked.class));
             Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }
         } else {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,33 @@
     }
 }
 
+/// The operators' rule on repeats, for one more attempt, or for the `n`th, beside the others.
+fn may_repeat(
+    s: &Settings,
+    list: &BTreeMap<BackendId, Entry>,
+    asked: &Asked,
+    n: usize,
+    backend: BackendId,
+    now: f64,
+) -> bool {
+    let others = asked.attempts.iter().enumerate().filter(|(other, _)| *other != n);
+    let Some(ran) = others.map(|(_, a)| a).find(|a| !proven(s, a.outcome)) else { return true };
+    let class = s.classes.get(asked.request.class);
+    let (old, new) = (&list[&ran.backend], &list[&backend]);
+    match class.map_or(Effect::Unsafe, |c| c.effect) {
+        Effect::Safe => true,
+        Effect::Unsafe => false,
+        Effect::Keyed(group) => {
+            let same = match group {
+                Group::All => true,
+                Group::Zone => old.zone == new.zone,
+                Group::Cell => old.cell == new.cell,
+            };
+            same && now <= ran.at + class.map_or(0.0, |c| c.key_ttl_ms)
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct Sent {
     pub backend: BackendId,
@@ -159,24 +186,8 @@
                 assert_eq!(entry.health, Health::Up, "rule 3: sent to one that drains or is gone");
                 let out = asked.attempts.iter().any(|a| a.outcome.is_none());
                 assert!(self.s.second_copies || !out, "rule 2: two attempts at once");
-                let ran = asked.attempts.iter().find(|a| !proven(&self.s, a.outcome));
-                if let Some(ran) = ran {
-                    let c = self.s.classes.get(asked.request.class);
-                    let old = &self.list[&ran.backend];
-                    let held = match c.map_or(Effect::Unsafe, |c| c.effect) {
-                        Effect::Safe => true,
-                        Effect::Unsafe => false,
-                        Effect::Keyed(g) => {
-                            let same = match g {
-                                Group::All => true,
-                                Group::Zone => old.zone == entry.zone,
-                                Group::Cell => old.cell == entry.cell,
-                            };
-                            same && self.now <= ran.at + c.map_or(0.0, |c| c.key_ttl_ms)
-                        }
-                    };
-                    assert!(held, "rule 2: sent again though it may have run");
-                }
+                let held = may_repeat(&self.s, &self.list, asked, usize::MAX, *backend, self.now);
+                assert!(held, "rule 2: sent again though it may have run");
                 let ends =
                     if *timeout_ms > 0.0 { self.now + timeout_ms } else { asked.request.deadline_ms };
                 let ends = ends.min(asked.request.deadline_ms);
@@ -334,6 +345,24 @@
         self.feed(Event::Left(id));
     }
 
+    /// What the last look says of each attempt that is out, now and later, is what the rules say.
+    pub fn last_looks(&self) {
+        for (id, asked) in &self.asked {
+            for (n, sent) in asked.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
+                for at in [0.0, 150.3, 1200.7].map(|later| self.now + later) {
+                    let up = self.list[&sent.backend].health == Health::Up;
+                    let goes = up
+                        && asked.answer.is_none()
+                        && at < asked.request.deadline_ms
+                        && may_repeat(&self.s, &self.list, asked, n, sent.backend, at);
+                    let bars = self.balancer.bars(at, *id, n as u32);
+                    assert_eq!(bars.is_none(), goes, "{id:?}, attempt {n}, at {at}: {bars:?}");
+                    assert!(bars.is_none_or(|b| proven(&self.s, Some(b))), "what is not sent never ran");
+                }
+            }
+        }
+    }
+
     /// Moves the clock, with every timer and time-out on the way.
     pub fn run_to(&mut self, until: f64) {
         loop {
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -32,6 +32,23 @@
     sockets.contains(&format!(":{:04X} {state}", remote.port()))
 }
 
+/// The socket between these two, or any that has one of them where the other is none, holds bytes that nobody has read.
+pub fn unread(local: Option<SocketAddr>, remote: Option<SocketAddr>) -> bool {
+    let is = |field: &str, address: Option<SocketAddr>| match address {
+        Some(SocketAddr::V4(a)) => {
+            field == format!("{:08X}:{:04X}", u32::from_le_bytes(a.ip().octets()), a.port())
+        }
+        _ => true,
+    };
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    sockets.lines().map(|l| l.split_whitespace().collect::<Vec<_>>()).any(|fields| {
+        fields.len() > 4
+            && is(fields[1], local)
+            && is(fields[2], remote)
+            && !fields[4].ends_with(":00000000")
+    })
+}
+
 /// An address of this process's own with a port that nothing listens on.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
@@ -118,6 +135,8 @@
     Say(Vec<u8>),
     /// Writes this and closes.
     SayAndClose(Vec<u8>),
+    /// Writes this and resets.
+    SayAndReset(Vec<u8>),
     /// Writes this and closes a moment after the other side has read it.
     SayAndCloseLater(Vec<u8>),
     /// Keeps the connection open and says nothing.
@@ -217,6 +236,13 @@
                             let _ = stream.write_all(&bytes);
                             break;
                         }
+                        Act::SayAndReset(bytes) => {
+                            let _ = stream.write_all(&bytes);
+                            // What was written has to arrive first.
+                            thread::sleep(Duration::from_millis(50));
+                            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                            break;
+                        }
                         Act::SayAndCloseLater(bytes) => {
                             let _ = stream.write_all(&bytes);
                             thread::sleep(Duration::from_millis(50));
@@ -549,6 +575,18 @@
         wait_for(line, || self.logged(line) > before);
     }
 
+    /// From here on it does nothing, while the system goes on taking what is sent to it.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        wait_for("it stands still", || std::fs::read_to_string(&stat).unwrap().contains(") T "));
+    }
+
+    /// It meets all of that at once.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn hang_up(&self) {
         self.signal("-HUP");
     }
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -2,7 +2,8 @@
 mod node;
 
 use node::*;
-use std::sync::atomic::Ordering::SeqCst;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -62,9 +63,95 @@
             Act::SayAndClose(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\nab\r\n0\r\n\r\n".to_vec()),
         ),
         ("no HTTP", Act::SayAndClose(b"what?\r\n\r\n".to_vec())),
+        ("a wrong status line", Act::Say(b"HTTP/1.1 abc OK\r\nContent-Length: 0\r\n\r\n".to_vec())),
+        ("no length, and reset", Act::SayAndReset(b"HTTP/1.1 200 OK\r\n\r\nhalf".to_vec())),
+        ("reset in the head", Act::SayAndReset(b"HTTP/1.1 200 OK\r\nContent-Le".to_vec())),
+        ("a length that lies", Act::SayAndReset(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort".to_vec())),
+        ("two lengths", Act::Say(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab".to_vec())),
+        ("no number for a length", Act::Say(b"HTTP/1.1 200 OK\r\nContent-Length: two\r\n\r\nab".to_vec())),
+        ("no number for a chunk", Act::Say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab".to_vec())),
+        ("headers without end", Act::Say([&b"HTTP/1.1 200 OK\r\n"[..], &b"A: b\r\n".repeat(20_000)].concat())),
+        ("a header without end", Act::Say([&b"HTTP/1.1 200 OK\r\nA: "[..], &[b'x'; 200_000]].concat())),
+        ("an interim answer and the end", Act::SayAndClose(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec())),
+        ("another protocol", Act::SayAndClose(b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n".to_vec())),
     ]
 }
 
+#[test]
+fn interim_answers_are_no_answers_and_what_follows_them_is() {
+    let mut bytes = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n".to_vec();
+    bytes.extend(reply("200 OK", "", b"second"));
+    assert_eq!(play("bid", Act::Say(bytes)), (200, 1));
+    // Without end they take the request's time, and no memory.
+    let record = Record::default();
+    let interim = b"HTTP/1.1 100 Continue\r\n\r\n".repeat(4000);
+    let addresses = backends(1, &record, move |_, _| {
+        Act::PartsAndClose((0..10_000).map(|_| (1, interim.clone())).collect())
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    assert_eq!(ask(node.address, &request("bid", 900)).status(), 502);
+    wait_for("the connection is closed", || record.open_now() == 0);
+    assert!(node.most_memory() < 32 << 20, "{} bytes", node.most_memory());
+}
+
+#[test]
+fn what_a_backend_says_unasked_is_nobodys_answer() {
+    for unasked in [
+        &b"HTTP/1.1 2"[..],
+        &reply("200 OK", "", b"unasked"),
+        &reply("503 Late", "X-Never-Ran: 1\r\n", b""),
+    ] {
+        for at_once in [true, false] {
+            let record = Record::default();
+            let answer = reply("200 OK", "", b"first");
+            let both = [answer.clone(), unasked.to_vec()].concat();
+            // With the answer, or some milliseconds after it.
+            let parts = if at_once { vec![(0, both)] } else { vec![(0, answer), (30, unasked.to_vec())] };
+            let address = backend(
+                &record,
+                move |n, _| if n == 0 { Act::Parts(parts.clone()) } else { ok(b"second") },
+            );
+            let discovery = Discovery::start(all_up(&[address]));
+            let node = Node::start(discovery.address, |_| {});
+            let mut client = Client::connect(node.address);
+            assert_eq!(client.ask(&request("bid", 900)).body, b"first");
+            if at_once {
+                wait_for("it is closed", || record.open_now() == 0);
+            } else {
+                wait_for("it is there", || unread(None, Some(address)));
+            }
+            let next = client.ask(&request("bid", 900));
+            assert_eq!((next.status(), next.body), (200, b"second".to_vec()));
+            assert_eq!(record.opened.load(SeqCst), 2, "the connection is not used again");
+        }
+    }
+}
+
+#[test]
+fn an_attempt_whose_client_left_goes_on_where_it_must_not_be_called_off() {
+    let record = Record::default();
+    let go = Arc::new(AtomicBool::new(false));
+    let may_answer = go.clone();
+    let addresses = backends(1, &record, move |_, _| {
+        wait_for("the client has left", || may_answer.load(SeqCst));
+        ok(b"x")
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["settings"]["limits"]["mayCancel"] = false.into());
+    let mut client = Client::connect(node.address);
+    wait_for("the client is taken", || node.call("stats").contains("\"clients\":1"));
+    assert!(client.send(&request("page", 4000)));
+    wait_for("the attempt is out", || record.count() == 1);
+    drop(client);
+    wait_for("the node has noticed", || node.call("stats").contains("\"clients\":0"));
+    assert_eq!(record.open_now(), 1, "the attempt is out still");
+    go.store(true, SeqCst);
+    wait_for("it is over", || node.call("stats").contains("\"open\":0"));
+    assert_eq!(ask(node.address, &request("page", 4000)).status(), 200);
+    assert_eq!(record.opened.load(SeqCst), 1, "its connection is used again");
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_is_failed_and_never_sent_twice() {
     for (what, act) in ends_that_may_have_run() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -53,6 +53,7 @@
 fn play(s: Settings, seed: u64, steps: &[Step]) -> Vec<Action> {
     let mut w = World::with_backends(s, seed, 6);
     for step in steps {
+        w.last_looks();
         let open: Vec<RequestId> = w
             .asked
             .iter()
