Let a backend's connection rest 20 ms before it carries the next request

Cause, found on review: the connection used last was used first; a second answer some milliseconds late was then read as the next request's, and served to whom it was not made for.

Ruled out: what comes with the answer, half a line, or on a resting connection, all of which is seen before reuse.

Change: the last used among those that rested 20 ms goes first, else the one that rested longest.

Where a backend has one connection and it has not rested, it is used.

--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -44,6 +44,9 @@
 /// An idle connection is dropped after this part of the time at which the backend drops it: a request that
 /// crosses the backend's close may have run, and an unsafe one is then lost.
 const IDLE_PART: f64 = 0.7;
+/// A second answer that nobody asked for may come some milliseconds late. A connection that has rested so long shows it;
+/// on one that is used at once it would be taken for the next request's.
+const REST: Duration = Duration::from_millis(20);
 /// A probe that takes longer has failed.
 const PROBE_LIMIT: Duration = Duration::from_millis(250);
 
@@ -305,13 +308,18 @@
     fn take_idle(&self, backend: BackendId) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&backend)?;
-        while let Some(Idle { conn, since }) = list.pop() {
+        loop {
+            // The last that has rested, so that the others turn old and are closed; else the one that rests longest.
+            let rested = list.iter().rposition(|i| i.since.elapsed() >= REST).unwrap_or(0);
+            if list.is_empty() {
+                return None;
+            }
+            let Idle { conn, since } = list.remove(rested);
             // Looked at once more here: the sweep may be late, and the backend may have closed it since.
             if since.elapsed() < self.idle_limit.get() && conn.alive() {
                 return Some(conn);
             }
         }
-        None
     }
 
     /// Keeps a connection whose exchange is over, if it can carry another.
--- a/tests/node_requests.rs
+++ b/tests/node_requests.rs
@@ -2,6 +2,8 @@
 mod node;
 
 use node::*;
+use std::io::{BufReader, Write};
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::time::{Duration, Instant};
@@ -128,6 +130,50 @@
     }
 }
 
+#[test]
+fn a_second_answer_that_is_late_is_not_taken_for_the_next_requests() {
+    let listener = TcpListener::bind(loopback(0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let discovery = Discovery::start(all_up(&[address]));
+    let node = Node::start(discovery.address, |_| {});
+    let mut clients: Vec<Client> = (0..2).map(|_| Client::connect(node.address)).collect();
+    let mut conns: Vec<TcpStream> = Vec::new();
+    // Two connections, both of which have rested.
+    for client in &mut clients {
+        assert!(client.send(&request("bid", 900)));
+        conns.push(listener.accept().unwrap().0);
+    }
+    let take = |conn: &TcpStream| Message::read(&mut BufReader::new(conn)).expect("a request");
+    for (client, conn) in clients.iter_mut().zip(&mut conns) {
+        take(conn);
+        conn.write_all(&reply("200 OK", "", b"first")).unwrap();
+        assert_eq!(client.answer().unwrap().body, b"first");
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    let asked = |conns: &[TcpStream]| {
+        let mut which = None;
+        wait_for("a request", || {
+            which = conns.iter().position(|c| unread(c.local_addr().ok(), c.peer_addr().ok()));
+            which.is_some()
+        });
+        which.unwrap()
+    };
+    assert!(clients[0].send(&request("bid", 900)));
+    let first = asked(&conns);
+    take(&conns[first]);
+    // Its answer and the next request meet the node in one moment, and the second answer comes after that.
+    node.freeze();
+    conns[first].write_all(&reply("200 OK", "", b"second")).unwrap();
+    assert!(clients[1].send(&request("bid", 900)));
+    node.thaw();
+    assert_eq!(clients[0].answer().unwrap().body, b"second");
+    let next = asked(&conns);
+    conns[first].write_all(&reply("200 OK", "", b"unasked")).unwrap();
+    take(&conns[next]);
+    conns[next].write_all(&reply("200 OK", "", b"third")).unwrap();
+    assert_eq!(clients[1].answer().unwrap().body, b"third");
+}
+
 #[test]
 fn an_attempt_whose_client_left_goes_on_where_it_must_not_be_called_off() {
     let record = Record::default();
