Turn down settings with huge or negative figures and words that nobody knows

Cause, found by a probe over every figure of a configuration: figures had lower bounds alone and some had none; an unknown word was taken for a default, so a misspelt membershipMode or semantics ran with other rules; errors named no file.

Ruled out: NaN, texts for numbers, cut or lacking files, negative times, which were turned down already.

Change: bounds on both sides for every figure, words must be known, errors name file, field and entry.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,9 @@
     pub tick_ms: f64,
 }
 
+/// No figure of the settings is larger: in milliseconds, eleven days.
+const MOST: f64 = 1e9;
+
 /// Settings that no balancer can run on.
 #[derive(Clone, Debug, PartialEq, Error)]
 pub enum SettingsError {
@@ -235,10 +238,10 @@
     #[error("classes: at least one is needed")]
     NoClass,
     /// A figure is not a number, or outside its range.
-    #[error("{field}: {value} is outside its range")]
+    #[error("{field}: {value:e} is outside its range")]
     Range {
         /// The setting.
-        field: &'static str,
+        field: String,
         /// What it held.
         value: f64,
     },
@@ -268,31 +271,50 @@
         if self.classes.is_empty() {
             return Err(SettingsError::NoClass);
         }
-        let mut figures = vec![
+        let (p, g) = (&self.prices, &self.goal);
+        let single = [
             ("rules.coldMs", self.cold_ms, 0.0),
             ("rules.fallMs", self.fall_ms, 0.0),
             ("rules.fallMultiple", self.fall_multiple, 0.0),
             ("rules.startCapacity", self.start_capacity, 0.0),
             ("rules.drainGraceMs", self.drain_grace_ms, 0.0),
             ("rules.drainCloseMs", self.drain_close_ms.unwrap_or(1.0), f64::MIN_POSITIVE),
-            ("limits.maxRetryAfterMs", self.max_retry_after_ms, 0.0),
             ("rules.mustAskInMs", self.must_ask_in_ms, 0.0),
+            ("limits.maxRetryAfterMs", self.max_retry_after_ms, 0.0),
             ("limits.connIdleMs", self.conn_idle_ms, 0.0),
             ("limits.connectTimeoutMs", self.connect_timeout_ms, f64::MIN_POSITIVE),
+            ("limits.cpuUsPerS", self.cpu_us_per_s, 0.0),
+            ("limits.attemptsCap", f64::from(self.max_attempts), 1.0),
             ("overShareWorth", self.over_share_worth, 0.0),
             ("tickMs", self.tick_ms, 0.0),
             ("instances", f64::from(self.instances), 1.0),
-            ("limits.attemptsCap", f64::from(self.max_attempts), 1.0),
+            ("prices.crossZone", p.cross_zone, 0.0),
+            ("prices.handshake", p.handshake, 0.0),
+            ("prices.connection", p.connection, 0.0),
+            ("prices.lateFail", p.late_fail, 0.0),
+            ("prices.waste", p.waste, 0.0),
+            ("prices.probe", p.probe, 0.0),
+            ("prices.peer", p.peer, 0.0),
+            ("blend.whole", g.whole, 0.0),
+            ("blend.worstWindow", g.worst_window, 0.0),
+            ("blend.worstClass", g.worst_class, 0.0),
+            ("blend.worstTenant", g.worst_tenant, 0.0),
         ];
-        for c in &self.classes {
-            figures.push(("classes.hardLimitMs", c.deadline_ms, f64::MIN_POSITIVE));
-            figures.push(("classes.objectiveMs", c.aim_ms, f64::MIN_POSITIVE));
-            figures.push(("classes.value", c.worth, 0.0));
-            figures.push(("classes.lateValue", c.late_worth, 0.0));
-            figures.push(("classes.keyTtlMs", c.key_ttl_ms, 0.0));
+        let mut figures: Vec<(String, f64, f64)> =
+            single.map(|(f, v, least)| (f.to_owned(), v, least)).into();
+        for (n, c) in self.classes.iter().enumerate() {
+            let of_class = [
+                ("hardLimitMs", c.deadline_ms, f64::MIN_POSITIVE),
+                ("objectiveMs", c.aim_ms, f64::MIN_POSITIVE),
+                ("value", c.worth, 0.0),
+                ("lateValue", c.late_worth, 0.0),
+                ("keyTtlMs", c.key_ttl_ms, 0.0),
+            ];
+            figures.extend(of_class.map(|(f, v, least)| (format!("classes[{n}].{f}"), v, least)));
         }
-        figures.extend(self.tenants.iter().map(|t| ("tenants.quotaRps", t.quota_rps, 0.0)));
-        let wrong = figures.into_iter().find(|(_, v, least)| !v.is_finite() || v < least);
+        let quota = |(n, t): (usize, &Tenant)| (format!("tenants[{n}].quotaRps"), t.quota_rps, 0.0);
+        figures.extend(self.tenants.iter().enumerate().map(quota));
+        let wrong = figures.into_iter().find(|(_, v, least)| !(*least..=MOST).contains(v));
         wrong.map_or(Ok(()), |(field, value, _)| Err(SettingsError::Range { field, value }))
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -80,6 +80,18 @@
     Options(String),
 }
 
+impl ConfigError {
+    /// The same, with the name of the platform's file where it is of that.
+    fn of_file(self) -> ConfigError {
+        match (self, std::env::var("LB_CONFIG")) {
+            (e @ (ConfigError::Field { .. } | ConfigError::Settings(_)), Ok(path)) => {
+                ConfigError::File { path, reason: e.to_string() }
+            }
+            (e, _) => e,
+        }
+    }
+}
+
 fn wrong(field: &str, reason: impl Into<String>) -> ConfigError {
     ConfigError::Field { field: field.to_owned(), reason: reason.into() }
 }
@@ -196,7 +208,7 @@
     /// # Errors
     /// It cannot be read, lacks a key that the running one has, or holds what cannot be.
     pub fn read(running: &Value) -> Result<Reload, ConfigError> {
-        Reload::check(running, file()?, Options::load)
+        Reload::check(running, file()?, Options::load).map_err(ConfigError::of_file)
     }
 
     /// The same of a content.
@@ -225,7 +237,9 @@
     /// # Errors
     /// It cannot be read, lacks what a start needs, or holds what cannot be.
     pub fn load() -> Result<Config, ConfigError> {
-        Config::read(file()?)
+        let config = Config::read(file()?).map_err(ConfigError::of_file)?;
+        config.settings.check().map_err(|e| wrong("settings", e.to_string()).of_file())?;
+        Ok(config)
     }
 
     /// Reads a file's content and the environment.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -429,7 +429,7 @@
     }
 }
 
-/// A word; absent means empty, which every use takes for its default.
+/// A word; absent means empty.
 fn word<'a>(at: &'a Value, path: &str) -> Result<&'a str, WireError> {
     match setting(at, path) {
         Value::Null => Ok(""),
@@ -437,6 +437,19 @@
     }
 }
 
+/// What one of these words means; absent means the first's. A word that nobody knows is a mistake: taken for another, it
+/// would change what the rules allow.
+fn one_of<T: Copy, const N: usize>(at: &Value, path: &str, known: [(&str, T); N]) -> Result<T, WireError> {
+    let given = word(at, path)?;
+    match known.iter().find(|(word, _)| given.is_empty() || *word == given) {
+        Some((_, meaning)) => Ok(*meaning),
+        None => {
+            let words = known.map(|(word, _)| word).join(", ");
+            Err(bad_setting(path, &format!("{given:?} is none of {words}")))
+        }
+    }
+}
+
 fn count(at: &Value, path: &str, default: u32) -> Result<u32, WireError> {
     let v = figure(at, path, Some(f64::from(default)))?;
     let whole = v.is_finite() && v >= 0.0 && v <= f64::from(u32::MAX) && v.fract() == 0.0;
@@ -456,22 +469,23 @@
 }
 
 fn class(v: &Value) -> Result<Class, WireError> {
-    let group = match word(v, "group")? {
-        "all" => Group::All,
-        "zone" => Group::Zone,
-        _ => Group::Cell,
-    };
+    let groups = [("cell", Group::Cell), ("zone", Group::Zone), ("all", Group::All)];
+    let group = one_of(v, "group", groups)?;
     let deadline_ms = figure(v, "hardLimitMs", None)?;
     Ok(Class {
         aim_ms: figure(v, "objectiveMs", Some(deadline_ms))?,
         deadline_ms,
         worth: figure(v, "value", Some(1.0))?,
         late_worth: figure(v, "lateValue", Some(0.0))?,
-        effect: match word(v, "semantics")? {
-            "idempotent" => Effect::Safe,
-            "deduplicated" => Effect::Keyed(group),
-            _ => Effect::Unsafe,
-        },
+        effect: one_of(
+            v,
+            "semantics",
+            [
+                ("at_most_once", Effect::Unsafe),
+                ("idempotent", Effect::Safe),
+                ("deduplicated", Effect::Keyed(group)),
+            ],
+        )?,
         key_ttl_ms: figure(v, "keyTtlMs", Some(0.0))?,
         aim_stretch: figure(v, "aimStretch", Some(0.0))?,
     })
@@ -486,8 +500,6 @@
     let f = |path: &str, default: f64| figure(&v, path, Some(default));
     let zones: Vec<String> = list(&v, "areas")?.iter().map(name_of).collect();
     let zone = word(&v, "zone")?;
-    let by_work = word(&v, "worthBy")? == "work";
-    let asked = word(&v, "membershipMode")? == "on_request";
     let s = Settings {
         classes: list(&v, "classes")?.iter().map(class).collect::<Result<_, _>>()?,
         tenants: list(&v, "tenants")?
@@ -514,18 +526,26 @@
         instances: count(&v, "instances", 1)?,
         slot: count(&v, "slotNo", 0)?,
         zone: zones.iter().position(|z| z == zone).and_then(|z| u16::try_from(z).ok()),
-        weights: match word(&v, "weights")? {
-            "nominal" => Weights::Nominal,
-            "rough" => Weights::Rough,
-            "live" => Weights::Live,
-            _ => Weights::None,
-        },
-        reporting: match word(&v, "reporting.via")? {
-            "answers" => Reporting::Answers,
-            "probe" => Reporting::Probes,
-            _ => Reporting::None,
-        },
-        discovery: if asked { Discovery::OnRequest } else { Discovery::Pushed },
+        weights: one_of(
+            &v,
+            "weights",
+            [
+                ("none", Weights::None),
+                ("nominal", Weights::Nominal),
+                ("rough", Weights::Rough),
+                ("live", Weights::Live),
+            ],
+        )?,
+        reporting: one_of(
+            &v,
+            "reporting.via",
+            [("none", Reporting::None), ("answers", Reporting::Answers), ("probe", Reporting::Probes)],
+        )?,
+        discovery: one_of(
+            &v,
+            "membershipMode",
+            [("pushed", Discovery::Pushed), ("on_request", Discovery::OnRequest)],
+        )?,
         max_attempts: count(&v, "limits.attemptsCap", 1)?,
         may_cancel: truth(&v, "limits.mayCancel")?,
         second_copies: truth(&v, "limits.secondCopies")?,
@@ -538,7 +558,7 @@
         connect_timeout_ms: f("limits.connectTimeoutMs", 250.0)?,
         cpu_us_per_s: f("limits.cpuUsPerS", 0.0)?,
         over_share_worth: f("overShareWorth", 1.0)?,
-        worth_by_work: by_work,
+        worth_by_work: one_of(&v, "worthBy", [("request", false), ("work", true)])?,
         warm_keys: truth(&v, "familyInfo.warmKeys")?,
         cold_ms: figure(&v, "rules.coldMs", None)?,
         start_capacity: figure(&v, "rules.startCapacity", None)?,
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -959,7 +959,7 @@
     let odd = Settings { cold_ms: f64::NAN, ..settings() };
     assert!(matches!(
         Balancer::new(odd, 1).err(),
-        Some(SettingsError::Range { field: "rules.coldMs", .. })
+        Some(SettingsError::Range { field, .. }) if field == "rules.coldMs"
     ));
 }
 
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -591,6 +591,11 @@
         self.signal("-HUP");
     }
 
+    /// The name of its configuration's file.
+    pub fn file(&self) -> String {
+        self.file.display().to_string()
+    }
+
     pub fn write_config(&self, text: &str) {
         std::fs::write(&self.file, text).unwrap();
     }
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -234,17 +234,30 @@
 
 #[test]
 fn a_wrong_setting_is_named_and_ends_the_start() {
-    let cases: [(&str, Change); 5] = [
+    let cases: [(&str, Change); 17] = [
         ("listen", |c| c["listen"] = "nowhere".into()),
         ("peers[1]", |c| c["peers"] = serde_json::json!(["127.0.0.1:1", 7])),
         ("limits.sockets", |c| c["limits"]["sockets"] = "many".into()),
         ("rules.coldMs", |c| c["settings"]["rules"]["coldMs"] = "long".into()),
         ("classes", |c| c["settings"]["classes"] = serde_json::json!([])),
+        ("settings", |c| drop(c.as_object_mut().unwrap().remove("settings"))),
+        ("seed", |c| drop(c.as_object_mut().unwrap().remove("seed"))),
+        ("classes[1].hardLimitMs", |c| c["settings"]["classes"][1]["hardLimitMs"] = (-900).into()),
+        ("classes[2].keyTtlMs", |c| c["settings"]["classes"][2]["keyTtlMs"] = 1e300.into()),
+        ("rules.drainGraceMs", |c| c["settings"]["rules"]["drainGraceMs"] = 1e12.into()),
+        ("rules.mustAskInMs", |c| c["settings"]["rules"]["mustAskInMs"] = (-1).into()),
+        ("limits.connectTimeoutMs", |c| c["settings"]["limits"]["connectTimeoutMs"] = 0.into()),
+        ("prices.crossZone", |c| c["settings"]["prices"]["crossZone"] = (-0.1).into()),
+        ("blend.whole", |c| c["settings"]["blend"]["whole"] = 1e99.into()),
+        ("semantics", |c| c["settings"]["classes"][0]["semantics"] = "sometimes".into()),
+        ("membershipMode", |c| c["settings"]["membershipMode"] = "shouted".into()),
+        ("reporting", |c| c["settings"]["reporting"] = serde_json::json!({"via": "rumour", "names": []})),
     ];
     for (field, change) in cases {
         let mut node = Node::launch(free_address(), change, "exec \"$0\"");
         assert!(!node.ended().success(), "{field}");
         let log = node.log();
         assert!(log.contains(field), "{field} is not named: {log}");
+        assert!(log.contains(&node.file()), "nor is the file: {log}");
     }
 }
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -113,6 +113,13 @@
         with("/settings/classes/1/hardLimitMs", json!("900")),
         with("/settings/limits/attemptsCap", json!(null)),
         with("/settings/limits/attemptsCap", json!(-1)),
+        with("/settings/rules/drainGraceMs", json!(1e300)),
+        with("/settings/classes/2/keyTtlMs", json!(-5)),
+        with("/settings/classes/0/semantics", json!("sometimes")),
+        with("/settings/membershipMode", json!("shouted")),
+        with("/discovery", json!("nowhere")),
+        text.replacen("4000", "NaN", 1),
+        text.replacen("4000", "1e999", 1),
     ];
     for (n, bad) in bad.iter().enumerate() {
         node.replace(bad, false);
@@ -120,6 +127,7 @@
     }
     assert_eq!(elsewhere.calls(), 0);
     assert_eq!(node.logged("config.refused"), bad.len());
+    assert_eq!(node.logged(&node.file()), bad.len(), "each says which file");
     node.replace(&text, true);
     assert_eq!(ask(node.address, &request("page", 900)).status(), 400);
     wait_for("the new address is asked", || elsewhere.calls() > 0);
