--- a/tests/node_endings.rs
+++ b/tests/node_endings.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// A backend whose queue is full: no connection comes up until the one in it is taken out.
@@ -196,3 +197,118 @@
     assert_eq!(answer.status(), 200);
     assert!(answer.body == body, "{} bytes of it", answer.body.len());
 }
+
+/// An answer in order, or the end of a connection between requests whose request no backend has seen.
+fn answered_or_never_sent(client: &mut Client, record: &Record, before: usize, what: &str) {
+    match client.answer() {
+        Some(answer) => assert!(matches!(answer.status(), 200 | 503), "{what}: {}", answer.first_line),
+        None => assert_eq!(record.count(), before, "{what}: sent on, and its client was not told"),
+    }
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_is_answered_or_never_sent_on() {
+    for what in ["quiesce", "eviction"] {
+        let record = Record::default();
+        let addresses = backends(1, &record, |_, _| ok(b"x"));
+        let discovery = Discovery::start(all_up(&addresses));
+        let node = Node::start(discovery.address, |c| c["limits"]["sockets"] = 60.into());
+        let mut resting: Vec<Client> = (0..6).map(|_| Client::connect(node.address)).collect();
+        for client in &mut resting {
+            assert_eq!(client.ask(&request("page", 4000)).status(), 200);
+        }
+        let before = record.count();
+        node.freeze();
+        assert!(resting[0].send(&request("bid", 4000)));
+        // More than there are descriptors for.
+        let crowd: Vec<Client> = match what {
+            "eviction" => (0..60).map(|_| Client::connect(node.address)).collect(),
+            _ => Vec::new(),
+        };
+        let operator = node.operator;
+        let said = thread::spawn(move || match what {
+            "quiesce" => try_operator(operator, b"quiesce\n"),
+            _ => None,
+        });
+        node.thaw();
+        answered_or_never_sent(&mut resting[0], &record, before, what);
+        said.join().unwrap();
+        // The others are closed, or answered.
+        for client in &mut resting[1..] {
+            let before = record.count();
+            client.send(&request("bid", 4000));
+            answered_or_never_sent(client, &record, before, what);
+        }
+        assert!(node.descriptors() <= 60, "{what}: {}", node.descriptors());
+        drop(crowd);
+    }
+}
+
+#[test]
+fn a_flood_of_bad_clients_costs_good_ones_nothing() {
+    let record = Record::default();
+    // Enough of them that what the bad ones ask properly crowds nobody out.
+    let addresses = backends(16, &record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| c["limits"]["sockets"] = 128.into());
+    let (address, most) = (node.address, 128);
+    let before = node.descriptors();
+    let flood: Vec<_> = (0..8)
+        .map(|n| {
+            thread::spawn(move || {
+                for round in 0..40 {
+                    let Ok(mut bad) = TcpStream::connect(address) else { continue };
+                    bad.set_write_timeout(Some(Duration::from_millis(50))).unwrap();
+                    // Much that is nothing, half a head, a request with much behind it, a body that is cut.
+                    let bytes = match (n + round) % 4 {
+                        0 => vec![b'x'; 400_000],
+                        1 => request("page", 900)[..30].to_vec(),
+                        2 => [request("page", 900), vec![b'x'; 400_000]].concat(),
+                        _ => b"POST /api HTTP/1.1\r\nContent-Length: 90000\r\n\r\nxxxx".to_vec(),
+                    };
+                    let _ = bad.write_all(&bytes);
+                }
+            })
+        })
+        .collect();
+    let mut good = Client::connect(node.address);
+    for n in 0..200 {
+        let answer = good.ask(&request("bid", 4000));
+        assert_eq!(answer.status(), 200, "request {n}");
+        assert!(node.descriptors() <= most, "{} descriptors", node.descriptors());
+    }
+    flood.into_iter().for_each(|f| f.join().unwrap());
+    wait_for("they are all gone", || node.call("stats").contains("\"clients\":1"));
+    // The good client's, and connections to backends that rest.
+    let resting = record.open_now() as usize;
+    wait_for("what they held is free", || node.descriptors() <= before + 1 + resting);
+    assert!(node.most_memory() < 64 << 20, "{} bytes", node.most_memory());
+}
+
+#[test]
+fn handshakes_that_never_end_hold_no_request_and_no_descriptor_for_good() {
+    let stuck = Stuck::new();
+    let record = Record::default();
+    let good = backend(&record, |_, _| ok(b"x"));
+    let discovery = Discovery::start(vec![target("s-0", stuck.address, "up"), target("s-1", good, "up")]);
+    let node = Node::start(discovery.address, |c| {
+        c["limits"]["sockets"] = 80.into();
+        c["settings"]["limits"]["connectTimeoutMs"] = 200.into();
+    });
+    let before = node.descriptors();
+    let mut served = 0;
+    for _ in 0..10 {
+        let mut clients: Vec<Client> = (0..8).map(|_| Client::connect(node.address)).collect();
+        for client in &mut clients {
+            assert!(client.send(&request("bid", 4000)));
+        }
+        for client in &mut clients {
+            // Nothing has run where no connection came up: it goes elsewhere, or its client may come again.
+            let answer = client.answer().expect("an answer");
+            assert!(matches!(answer.status(), 200 | 503), "{}", answer.first_line);
+            served += usize::from(answer.status() == 200);
+        }
+    }
+    assert!(served > 40, "{served} of 80");
+    wait_for("descriptors are free", || node.descriptors() <= before + 8);
+}
