--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -213,9 +213,9 @@
             return;
         }
         let _ = socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
-        let (mut rest, mut left) = ([0; UNREAD_PIECE], MOST_UNREAD);
+        let mut left = MOST_UNREAD;
         while left > 0 && self.0.stream.readable().await.is_ok() {
-            match self.0.stream.try_read(&mut rest) {
+            match self.drop_piece() {
                 Ok(0) => return,
                 Ok(n) => left = left.saturating_sub(n),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -224,6 +224,11 @@
         }
     }
 
+    /// Apart, so that no connection's task holds room for what nobody wants.
+    fn drop_piece(&self) -> io::Result<usize> {
+        self.0.stream.try_read(&mut [0; UNREAD_PIECE])
+    }
+
     /// Asks the system, not the poller: nothing to read and no end in sight.
     pub fn quiet(&self) -> bool {
         if !self.0.ahead.borrow().is_empty() {
