--- a/src/policy/gates.rs
+++ b/src/policy/gates.rs
@@ -14,8 +14,8 @@
             && self.stands(now, open, usize::MAX, b)
     }
 
-    /// The last look, after every wait and right before an attempt's first byte: none where it goes, else how it
-    /// ends unsent.
+    /// The last look, after every wait and right before an attempt's first byte: none where it goes, else
+    /// how it ends unsent.
     pub fn bars(&self, now: f64, id: RequestId, attempt: u32) -> Option<Outcome> {
         let Some(open) = self.open.get(&id) else { return Some(Outcome::Skipped) };
         let n = attempt as usize;
@@ -24,8 +24,8 @@
         (!self.stands(now, open, n, b)).then_some(Outcome::Skipped)
     }
 
-    /// What may end while an attempt waits for its connection: its backend's stay, its client's, its time, and
-    /// the window of a repeat.
+    /// What may end while an attempt waits for its connection: its backend's stay, its client's, its time,
+    /// and the window of a repeat.
     fn stands(&self, now: f64, open: &Open, attempt: usize, b: &Backend) -> bool {
         let window = self.s.classes.get(open.request.class).map_or(0.0, |c| c.key_ttl_ms);
         let effect_kept = match (open.may_have_run_beside(attempt), self.s.effect(open.request.class)) {
