--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,9 +5,11 @@
 //! - [`server`] models a config server, [`judge`] keeps the operators' rules and figures; neither has I/O or a
 //!   clock, so real and simulated days share them.
 //! - [`sim`] plays a day in virtual time, hosting the real decisions; [`hunt`] draws schedules of faults for it.
+//! - [`capacity`] measures what each role costs at size.
 //! - [`real`] plays a day on loopback with real processes, [`report`] shows what came of it; [`load`] is load alone.
 
 pub mod baseline;
+pub mod capacity;
 pub mod hunt;
 pub mod judge;
 pub mod load;
