Work with a bounded subset of a long list, drawn by the node's number

Need: at 47,000 backends a node's requests, ticks and changes each walked one vector of full records, and a first whole list was put into it line by line, each insertion moving what lay behind: 8.0 s in which the loop took nothing, against 1.7 ms that may be added to a request.

The change: src/control/subset.rs keeps the whole list, small, in the order of a ring for each zone, and hands the decisions ordinary list events of at most 320 backends ([list] subset; 0 is the whole list as before). A list that fits is handed on as it came. Nodes' places on the rings lie evenly (multiples of the golden ratio), so a backend is held by 4200 * 320 / 47000 = 29 nodes, and one that goes is replaced by the next on the ring at those nodes alone. Half of a subset lies in the own zone where crossing has a price. What all nodes may send a backend is divided by those that hold it (Settings::holders), quotas and calls to discovery by all nodes as before; no policy line more. Long texts are read beside the loop without a tree of the whole; many changes are taken in slices. The whole list may be 32 MB long.

The crate's tests pass as they were; a field was added to two settings built by hand in tests and benches.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -33,6 +33,7 @@
         },
         prices: Prices::default(),
         instances: 4,
+        held_by: None,
         slot: 0,
         zone: Some(0),
         weights: Weights::Nominal,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,4 +9,5 @@
 pub mod members;
 pub mod packet;
 pub mod share;
+pub mod subset;
 pub mod zones;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -170,6 +170,8 @@
     pub prices: Prices,
     /// How many nodes there are.
     pub instances: u32,
+    /// How many of them hold a backend, where that is not all: the list is longer than a node's subset.
+    pub held_by: Option<u32>,
     /// This node's number among them, from 0.
     pub slot: u32,
     /// This node's zone, if it was told; comparable with [`Entry::zone`].
@@ -248,6 +250,11 @@
 }
 
 impl Settings {
+    /// How many nodes send to a backend: what all may send it together each divides by them.
+    pub fn holders(&self) -> u32 {
+        self.held_by.unwrap_or(self.instances).max(1)
+    }
+
     /// The longest aim of all classes.
     pub fn longest_aim_ms(&self) -> f64 {
         self.classes.iter().map(|c| c.aim_ms).fold(0.0, f64::max)
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,18 +1,21 @@
 //! The list of backends: the first one from the configuration, then a watch on discovery.
 
 use crate::body::Outgoing;
-use crate::driver::{Driver, Input, Target};
+use crate::driver::{Driver, Input};
 use crate::log::say;
 use crate::rules::Current;
 use crate::socket::Descriptors;
 use crate::upstream::Conn;
 use bytes::Bytes;
 use daleturn::control::asking::{Ask, Asking, Call, Next, Told};
+use daleturn::control::subset::{Catalog, Target};
 use daleturn::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use daleturn::wire::{Names, stable_hash};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
+use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,15 +23,34 @@
 use tokio::sync::{mpsc, watch};
 
 /// The whole list may be a great deal larger than a request.
-const LIST_LIMIT: usize = 8 * 1024 * 1024;
+const LIST_LIMIT: usize = 32 * 1024 * 1024;
+/// A longer list is read beside the loop, line by line: it takes longer than a request may wait.
+const LONG: usize = 64 * 1024;
+/// A whole list of more lines is put together there as well.
+const MANY: usize = 1024;
+/// So many changes are taken at once; whoever is served has a turn in between.
+const SLICE: usize = 256;
+/// Lines that could not be read and are told, of one list.
+const TOLD_SPOILT: usize = 20;
+
+/// The lines of an answer.
+pub enum Lines {
+    /// As they came.
+    Some(Vec<Target>),
+    /// A long whole list, put together.
+    Whole(Catalog),
+}
+
 /// An answer of discovery, or the list that a node starts with.
 pub struct Listing {
     rev: u64,
     all: bool,
-    /// Lines that could not be read.
+    entries: usize,
+    /// How many lines could not be read, and the first of them with what is wrong.
     skipped: usize,
+    spoilt: Vec<(&'static str, String)>,
     /// The others.
-    pub targets: Vec<Target>,
+    pub lines: Lines,
 }
 
 impl Listing {
@@ -39,27 +61,82 @@
 
     /// The version that a watch may go on from: none of an empty list or of one that was not read whole.
     pub fn complete(&self) -> Option<u64> {
-        (self.all && self.skipped == 0 && !self.targets.is_empty()).then_some(self.rev)
+        (self.all && self.skipped == 0 && self.entries > 0).then_some(self.rev)
+    }
+
+    fn of(
+        rev: u64,
+        all: bool,
+        lines: impl Iterator<Item = Result<Target, (&'static str, String)>>,
+    ) -> Listing {
+        let (mut skipped, mut spoilt) = (0, Vec::new());
+        let read = lines.filter_map(|line| match line {
+            Ok(target) => Some(target),
+            Err(wrong) => {
+                skipped += 1;
+                if spoilt.len() < TOLD_SPOILT {
+                    spoilt.push(wrong);
+                }
+                None
+            }
+        });
+        let targets: Vec<Target> = read.collect();
+        Listing { rev, all, entries: targets.len(), skipped, spoilt, lines: Lines::Some(targets) }
+    }
+
+    /// Logs lines that were skipped: one bad line must not hide the rest.
+    pub fn tell_skipped(&self) {
+        for (field, line) in &self.spoilt {
+            say!(WARN, "discovery", field, entry = line.as_str(), "discovery.entry_skipped");
+        }
     }
 }
 
-/// Reads a list in discovery's form. Bad lines are logged and skipped: one of them must not hide the rest.
+/// Reads a list in discovery's form.
 pub fn listing(json: &Value, names: &Names) -> Option<Listing> {
     let rev = json.get("rev")?.as_u64()?;
     let all = json.get("all").and_then(Value::as_bool).unwrap_or(false);
     let lines = json.get("targets")?.as_array()?;
-    let mut targets = Vec::with_capacity(lines.len());
-    for line in lines {
-        match target(line, names) {
-            Ok(target) => targets.push(target),
-            Err(field) => {
-                let line = line.to_string();
-                let entry = format!("{line:.200}");
-                say!(WARN, "discovery", field, entry = entry.as_str(), "discovery.entry_skipped");
-            }
-        }
+    let read =
+        lines.iter().map(|line| target(line, names).map_err(|field| (field, excerpt(&line.to_string()))));
+    Some(Listing::of(rev, all, read))
+}
+
+fn excerpt(line: &str) -> String {
+    format!("{line:.200}")
+}
+
+/// The same of a long text: no tree of the whole is made, and a whole list is put together.
+fn long_listing(text: &[u8], names: &Names) -> Result<Listing, serde_json::Error> {
+    #[derive(Deserialize)]
+    struct Form<'a> {
+        rev: u64,
+        #[serde(default)]
+        all: Value,
+        #[serde(borrow)]
+        targets: Vec<&'a RawValue>,
+    }
+    let Form { rev, all, targets } = serde_json::from_slice(text)?;
+    let read = targets.iter().map(|line| {
+        let json: Value = serde_json::from_str(line.get()).map_err(|_| ("line", excerpt(line.get())))?;
+        target(&json, names).map_err(|field| (field, excerpt(line.get())))
+    });
+    let mut listing = Listing::of(rev, all.as_bool().unwrap_or(false), read);
+    if let (true, Lines::Some(lines)) = (listing.all && listing.entries > MANY, &mut listing.lines) {
+        listing.lines = Lines::Whole(Catalog::of(std::mem::take(lines)));
+    }
+    Ok(listing)
+}
+
+/// Reads an answer; a long one beside the loop.
+async fn read(text: Bytes, rules: &Current) -> Result<Listing, Box<dyn Error>> {
+    let rules = rules.get();
+    if text.len() <= LONG {
+        let json = serde_json::from_slice(&text)?;
+        return Ok(listing(&json, &rules.names).ok_or("not a list")?);
     }
-    Some(Listing { rev, all, skipped: lines.len() - targets.len(), targets })
+    let names = rules.names.of_zones();
+    Ok(tokio::task::spawn_blocking(move || long_listing(&text, &names)).await??)
 }
 
 fn target(line: &Value, names: &Names) -> Result<Target, &'static str> {
@@ -143,9 +220,14 @@
                     }
                     Next::Call(call) => {
                         let limit = Duration::from_secs_f64(call.limit_ms / 1000.0);
-                        let answer = exchange(at, &call, &self.rules, &self.descriptors, &mut conn);
+                        let answer = exchange(at, &call, &self.descriptors, &mut conn);
                         let answer = tokio::time::timeout(limit, answer).await;
-                        Step::Called(call, answer.unwrap_or_else(|late| Err(late.into())))
+                        // What it takes to read a long answer is no lateness of discovery's.
+                        let listing = match answer.unwrap_or_else(|late| Err(late.into())) {
+                            Ok(text) => read(text, &self.rules).await,
+                            Err(e) => Err(e),
+                        };
+                        Step::Called(call, listing)
                     }
                 }
             };
@@ -174,18 +256,17 @@
                         say!(INFO, "discovery", "discovery.recovered");
                         failing = false;
                     }
-                    let Listing { rev: version, all, skipped, targets } = listing;
-                    if !targets.is_empty() {
-                        let (entries, after_ms) = (targets.len(), call.after_ms(now));
+                    listing.tell_skipped();
+                    let Listing { rev: version, all, entries, skipped, lines, .. } = listing;
+                    if entries > 0 {
+                        let after_ms = call.after_ms(now);
                         say!(INFO, "discovery", version, entries, all, after_ms, "discovery.listed");
                     }
                     // No change is news too where discovery is asked: the call did not fail.
                     if self.asking.answered(now, &call, Told { version, all, skipped }) {
                         driver.list_version(self.asking.version());
-                        driver.take(Input::List(
-                            if all { ListKind::Full } else { ListKind::Changes },
-                            targets,
-                        ));
+                        let kind = if all { ListKind::Full } else { ListKind::Changes };
+                        hand_on(&driver, kind, lines).await;
                     }
                 }
                 Err(e) => {
@@ -206,6 +287,21 @@
     }
 }
 
+/// Hands on what an answer holds; many changes in slices.
+pub async fn hand_on(driver: &Rc<Driver>, kind: ListKind, lines: Lines) {
+    match lines {
+        Lines::Whole(catalog) => driver.take(Input::Whole(kind, catalog)),
+        Lines::Some(mut lines) => {
+            while kind == ListKind::Changes && lines.len() > SLICE {
+                let rest = lines.split_off(SLICE);
+                driver.take(Input::List(kind, std::mem::replace(&mut lines, rest)));
+                tokio::task::yield_now().await;
+            }
+            driver.take(Input::List(kind, lines));
+        }
+    }
+}
+
 /// What came of one step.
 enum Step {
     Wished(Option<bool>),
@@ -216,10 +312,9 @@
 async fn exchange(
     at: SocketAddr,
     call: &Call,
-    rules: &Current,
     descriptors: &Rc<Descriptors>,
     kept: &mut Option<Conn>,
-) -> Result<Listing, Box<dyn Error>> {
+) -> Result<Bytes, Box<dyn Error>> {
     let path = match call.ask {
         Ask::Whole => "/discovery/hosts".to_owned(),
         Ask::Changes { after, wait_ms } => format!("/discovery/hosts?after={after}&wait_ms={wait_ms}"),
@@ -233,8 +328,6 @@
     if answer.status() != StatusCode::OK {
         return Err(format!("status {}", answer.status()).into());
     }
-    let json = serde_json::from_slice(answer.body())?;
-    let listing = listing(&json, &rules.get().names).ok_or("not a list")?;
     *kept = Some(conn);
-    Ok(listing)
+    Ok(answer.into_body())
 }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -11,6 +11,7 @@
 use crate::stats::{End, Stats};
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use daleturn::Balancer;
+use daleturn::control::subset::{Catalog, News, Subset, Target};
 use daleturn::control::zones::{Change, Order, Zones};
 use daleturn::interface::{
     Action, BackendFigures, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Memory,
@@ -119,17 +120,6 @@
     }
 }
 
-/// One line of discovery's list.
-#[derive(Clone, Debug)]
-pub struct Target {
-    /// What the decisions need.
-    pub entry: Entry,
-    /// Where it listens; one that was removed need not say.
-    pub address: Option<SocketAddr>,
-    /// What operators call it.
-    pub uid: Rc<str>,
-}
-
 /// All that can happen to a node.
 pub enum Input {
     /// The node is up.
@@ -140,6 +130,8 @@
     Memory(Box<Memory>),
     /// News of the list.
     List(ListKind, Vec<Target>),
+    /// A long whole list.
+    Whole(ListKind, Catalog),
     /// These backends, and no others, are out by the operators' word.
     Cordoned(BTreeMap<BackendId, String>),
     /// A client's request.
@@ -302,7 +294,9 @@
     stats: Stats,
     open: HashMap<RequestId, Open>,
     places: HashMap<BackendId, Place>,
-    /// What discovery lists, whoever is out.
+    /// The whole list, and which part of it this node works with.
+    subset: Subset,
+    /// What discovery lists of that part, whoever is out.
     listed: HashMap<BackendId, Target>,
     /// Who is out by the operators' word, whatever is listed.
     cordoned: BTreeMap<BackendId, String>,
@@ -310,6 +304,8 @@
     zones: Option<Zones>,
     /// Requests of this second and of the one before.
     asked: (u64, [u32; 2]),
+    /// What follows from an event at once, before all others.
+    due: VecDeque<Input>,
 }
 
 /// A warm backend is taken to serve so many times what it was lately seen to.
@@ -347,6 +343,7 @@
         state: Rc<State>,
         watch: mpsc::UnboundedSender<bool>,
         window: Duration,
+        subset: u32,
     ) -> Rc<Driver> {
         Rc::new(Driver {
             core: RefCell::new(Core {
@@ -354,10 +351,12 @@
                 stats: Stats::new(window),
                 open: HashMap::new(),
                 places: HashMap::new(),
+                subset: Subset::new(subset as usize, &rules.settings),
                 listed: HashMap::new(),
                 cordoned: state.cordoned(),
                 zones: None,
                 asked: (0, [0; 2]),
+                due: VecDeque::new(),
             }),
             inbox: RefCell::default(),
             clock: Clock::new(),
@@ -479,7 +478,10 @@
         json["refused"] = json!({"level": level, "room": room, "no_backend": no_backend,
             "given_up": figures.refusals.given_up, "node_full": core.stats.away()});
         json["admission"] = json!({"level": look.level, "strain": look.strain, "pressure": look.pressure});
-        json["list"] = json!({"version": self.version.get(), "backends": core.listed.len()});
+        let subset = core.subset.figures();
+        json["list"] = json!({"version": self.version.get(), "backends": subset.listed, "up": subset.up,
+            "held": subset.held, "joined": subset.joined, "left_out": subset.left_out,
+            "held_by": core.balancer.settings().holders()});
         json["backends"] = backends.into();
         json["zones"] = zones.into();
         json
@@ -666,7 +668,7 @@
         self.known(uid).map(drop)
     }
 
-    /// The list that is known, in discovery's form.
+    /// The list that is known, or this node's part of a long one, in discovery's form.
     pub fn list_text(&self, rules: &Rules) -> String {
         let core = self.core.borrow();
         let targets: Vec<Value> = (core.listed.values())
@@ -677,7 +679,9 @@
                        "boot_ms": e.ready_at_ms})
             })
             .collect();
-        json!({"rev": self.version.get().unwrap_or(0), "all": true, "targets": targets}).to_string()
+        // A part of a list is none that changes could be asked of.
+        let all = !core.subset.wide();
+        json!({"rev": self.version.get().unwrap_or(0), "all": all, "targets": targets}).to_string()
     }
 
     /// The version of the list that is known.
@@ -708,7 +712,7 @@
     fn known(&self, uid: &str) -> Result<BackendId, CordonError> {
         let id = BackendId(stable_hash(uid));
         let core = self.core.borrow();
-        let known = core.listed.contains_key(&id) || core.cordoned.contains_key(&id);
+        let known = core.subset.knows(id) || core.cordoned.contains_key(&id);
         if known { Ok(id) } else { Err(CordonError::Unknown(uid.to_owned())) }
     }
 
@@ -722,12 +726,12 @@
     /// The one way in. What comes up while an event is handled waits for its end.
     pub fn take(self: &Rc<Self>, input: Input) {
         self.heard
-            .set(self.heard.get() || matches!(&input, Input::List(kind, _) if *kind != ListKind::Saved));
+            .set(self.heard.get() || matches!(&input, Input::List(kind, _) | Input::Whole(kind, _) if *kind != ListKind::Saved));
         self.inbox.borrow_mut().push_back(input);
         let Ok(mut core) = self.core.try_borrow_mut() else { return };
         let mut actions = Vec::new();
         loop {
-            let next = self.inbox.borrow_mut().pop_front();
+            let next = core.due.pop_front().or_else(|| self.inbox.borrow_mut().pop_front());
             let Some(input) = next else { return };
             let Some(event) = core.event(input, &self.upstream) else { continue };
             core.balancer.handle(self.clock.now_ms(), event, &mut actions);
@@ -902,11 +906,21 @@
     fn event(&mut self, input: Input, upstream: &Upstream) -> Option<Event> {
         Some(match input {
             Input::Start => Event::Start,
-            Input::Settings(settings) => Event::Settings(settings),
+            Input::Settings(mut settings) => {
+                settings.held_by = self.subset.held_by(settings.instances);
+                if self.subset.retune(&settings) {
+                    self.due.push_back(Input::List(ListKind::Changes, Vec::new()));
+                }
+                Event::Settings(settings)
+            }
             Input::Memory(memory) => Event::Memory(memory),
             Input::List(kind, targets) => {
-                self.note_listed(kind, &targets);
-                self.list(kind, targets, upstream)
+                let news = self.subset.take(kind, targets);
+                self.news(news, upstream)
+            }
+            Input::Whole(kind, catalog) => {
+                let news = self.subset.take_whole(kind, catalog);
+                self.news(news, upstream)
             }
             Input::Cordoned(cordoned) => {
                 let before = std::mem::replace(&mut self.cordoned, cordoned);
@@ -1014,6 +1028,35 @@
         }
     }
 
+    /// Takes in news of the list, as far as this node works with it.
+    fn news(&mut self, news: News, upstream: &Upstream) -> Event {
+        let News { kind, lines, old } = news;
+        if let Some(old) = old {
+            // Long to drop, and nobody waits for it.
+            drop(tokio::task::spawn_blocking(move || drop(old)));
+        }
+        self.note_listed(kind, &lines);
+        self.share_out();
+        self.list(kind, lines, upstream)
+    }
+
+    /// Sees to it that the decisions divide what a backend bears by the nodes that hold it. New settings for each
+    /// backend that comes or goes would be many: an eighth more or fewer nodes is the same.
+    fn share_out(&mut self) {
+        let settings = self.balancer.settings();
+        let now = self.subset.held_by(settings.instances);
+        let same = match (now, settings.held_by) {
+            (Some(now), Some(told)) => now.abs_diff(told) * 8 <= told,
+            (now, told) => now == told,
+        };
+        if !same {
+            let figures = self.subset.figures();
+            let (listed, held, held_by) = (figures.listed, figures.held, now.unwrap_or(settings.instances));
+            say!(INFO, "list", listed, held, held_by, "list.subset");
+            self.due.push_back(Input::Settings(Box::new(settings.clone())));
+        }
+    }
+
     fn note_listed(&mut self, kind: ListKind, targets: &[Target]) {
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             self.listed.clear();
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -204,6 +204,7 @@
         state.clone(),
         wish,
         window(&options),
+        options.list.subset,
     );
     driver.still_out(kept.cordons.keys());
     driver.take(Input::Start);
@@ -220,7 +221,8 @@
     let version = known.as_ref().and_then(discovery::Listing::complete);
     driver.list_version(version);
     if let Some(known) = known {
-        driver.take(Input::List(ListKind::Saved, known.targets));
+        known.tell_skipped();
+        discovery::hand_on(&driver, ListKind::Saved, known.lines).await;
     }
     if let Some(memory) = kept.learned.as_deref().and_then(|text| memory_from(text, names)) {
         say!(INFO, "state", backends = memory.backends.len(), "state.remembers");
--- a/src/options.rs
+++ b/src/options.rs
@@ -39,6 +39,23 @@
     pub share: Share,
     /// Zones and regions.
     pub topology: Topology,
+    /// Long lists of backends.
+    pub list: List,
+}
+
+/// `[list]`.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct List {
+    /// Of a list with more backends than this a node works with so many; 0 for all of any list.
+    #[serde(deserialize_with = "within::<_, 0, 100_000>")]
+    pub subset: u32,
+}
+
+impl Default for List {
+    fn default() -> List {
+        List { subset: 320 }
+    }
 }
 
 /// `[topology]`.
@@ -214,7 +231,7 @@
 }
 
 /// Every key that the file may hold.
-pub const KEYS: [Key; 15] = [
+pub const KEYS: [Key; 16] = [
     Key { key: "log.format", unit: "text | json", about: "how a line of the log is written" },
     Key {
         key: "log.level",
@@ -281,6 +298,11 @@
         unit: "table of names",
         about: "region of each zone, such as monza-a = \"monza\"",
     },
+    Key {
+        key: "list.subset",
+        unit: "backends, 0 to 100000; 0 for all; taken at a start only",
+        about: "of a longer list a node works with so many: its part, as its number has it",
+    },
     Key {
         key: "share.affinity_ms",
         unit: "milliseconds, 500 to 60000",
--- a/src/policy/record.rs
+++ b/src/policy/record.rs
@@ -55,7 +55,7 @@
         let most = (self.s.cold_ms / 4.0).max(self.s.longest_aim_ms());
         let t = (self.s.longest_aim_ms() * f64::from(1_u32 << failed_trials.min(6))).min(most);
         // Nodes that tell each other trip together: whoever tries first spares the others their trial.
-        let spread = if self.seldom() { TRIAL_SPACING * f64::from(self.s.instances) } else { 0.0 };
+        let spread = if self.seldom() { TRIAL_SPACING * f64::from(self.s.holders()) } else { 0.0 };
         t * (0.75 + 0.5 * self.rng.f64()) + spread * self.rng.f64()
     }
 
--- a/src/view.rs
+++ b/src/view.rs
@@ -21,6 +21,11 @@
         self.s = s;
     }
 
+    /// The settings that hold.
+    pub fn settings(&self) -> &Settings {
+        &self.s
+    }
+
     /// Says now and then how many requests were refused, by what, and how the fleet looked from here.
     pub(crate) fn tell(&mut self, now: f64, out: &mut Vec<Action>) {
         let Some(tally) = self.tally.take(now) else { return };
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -101,7 +101,7 @@
 }
 
 /// Names as one instance has heard them: numbers inside, words outside.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Names {
     /// Without a name: a number that new requests are not given.
     classes: Vec<Option<String>>,
@@ -125,6 +125,11 @@
         self.classes.get(number)?.as_deref()
     }
 
+    /// The names of zones alone, for whoever reads a list elsewhere.
+    pub fn of_zones(&self) -> Names {
+        Names { zones: self.zones.clone(), ..Names::default() }
+    }
+
     /// How many zones have names.
     pub fn zones(&self) -> usize {
         self.zones.len()
@@ -524,6 +529,7 @@
             peer: f("prices.peer", 0.0)?,
         },
         instances: count(&v, "instances", 1)?,
+        held_by: None,
         slot: count(&v, "slotNo", 0)?,
         zone: zones.iter().position(|z| z == zone).and_then(|z| u16::try_from(z).ok()),
         weights: one_of(
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -34,6 +34,7 @@
         },
         prices: Prices::default(),
         instances: 4,
+        held_by: None,
         slot: 0,
         zone: None,
         weights: Weights::Nominal,
