Draw subsets from one ring and one of the own zone, at places that lie evenly

The multiples of the golden ratio lie badly where each twelfth is taken, as the nodes of a zone may be numbered.

The change: one ring of all backends and, where crossing has a price, one of the own zone instead; a step whose multiples by 1 to 24 lie evenly (the best of 4,000 drawn).

--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -2,24 +2,24 @@
 //! in the order of a ring for each zone; what the decisions hear of is a subset of bounded size, told by ordinary list
 //! events, so that what a request, a tick or a change costs does not grow with the fleet. It knows no request.
 //!
-//! A list of at most so many lines is handed on as it came. Of a longer one each node takes, zone by zone, the next
-//! backends that are up on the ring from a place of its own. The places follow from the node's number and lie evenly,
-//! whichever nodes stand in a zone, so that each backend is held by about as many nodes as any other; a backend that
-//! goes or comes changes the subsets of those nodes alone. Where crossing zones has a price, half of the subset lies
-//! in the own zone. `docs/design.md` tells why, and what else was weighed.
+//! A list of at most so many lines is handed on as it came. Of a longer one each node takes the next backends that are
+//! up on a ring, from a place of its own. The places follow from the node's number and lie evenly, whichever nodes
+//! stand in a zone, so that each backend is held by about as many nodes as any other; a backend that goes or comes
+//! changes the subsets of those nodes alone. Where crossing zones has a price, half of the subset is taken from a ring
+//! of the own zone. `docs/design.md` tells why, and what else was weighed.
 
 use crate::interface::{BackendId, Entry, Health, ListKind, Settings};
 use crate::measure::mix;
-use std::collections::{BTreeMap, HashMap, btree_map};
+use std::collections::{BTreeMap, btree_map};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Lines that are kept at most; who is up beyond them is left out, and counted.
 pub const MOST_LINES: usize = 131_072;
-/// Steps of the places of nodes on a ring, and of the offsets at which zones' parts are rounded: multiples of numbers
-/// whose parts below one lie evenly, also those of each third or twelfth of them.
-const RING_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
-const ROUND_STEP: u64 = 0x6a09_e667_f3bc_c909;
+/// Step of the places of nodes on a ring, a part of a whole turn. Of some thousand numbers drawn this is the one whose
+/// multiples lie most evenly where only each second to twenty-fourth of them is taken, as the nodes of one zone may
+/// be; each twelfth multiple of the golden ratio leaves parts of the ring with half of their nodes.
+const RING_STEP: u64 = 0xc20c_22fb_e4a5_c001;
 
 /// One line of discovery's list.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,26 +32,50 @@
     pub uid: Arc<str>,
 }
 
-/// Backends of one zone, by their place on its ring.
+/// Backends by their place on a ring.
 #[derive(Debug, Default)]
 struct Ring {
     lines: BTreeMap<u64, Target>,
     up: usize,
 }
 
+impl Ring {
+    fn put(&mut self, line: Target) {
+        self.up += usize::from(line.entry.health == Health::Up);
+        let before = self.lines.insert(mix(line.entry.backend.0), line);
+        self.up -= usize::from(before.is_some_and(|b| b.entry.health == Health::Up));
+    }
+
+    /// True: it was there.
+    fn remove(&mut self, id: BackendId) -> bool {
+        let before = self.lines.remove(&mix(id.0));
+        self.up -= usize::from(before.as_ref().is_some_and(|b| b.entry.health == Health::Up));
+        before.is_some()
+    }
+
+    /// The next so many that are up, from a place on, once around.
+    fn next(&self, at: u64, count: usize) -> impl Iterator<Item = &Target> {
+        let around = self.lines.range(at..).chain(self.lines.range(..at)).map(|(_, line)| line);
+        around.filter(|line| line.entry.health == Health::Up).take(count)
+    }
+}
+
 /// A whole list.
 #[derive(Debug, Default)]
 pub struct Catalog {
-    rings: BTreeMap<u16, Ring>,
-    zone_of: HashMap<BackendId, u16>,
+    /// The zone whose backends have a ring of their own.
+    home: Option<u16>,
+    near: Ring,
+    far: Ring,
     /// Lines that had no place since the last whole list.
     left_out: usize,
 }
 
 impl Catalog {
-    /// The list of these lines; of two lines of one backend the later holds.
-    pub fn of(lines: impl IntoIterator<Item = Target>) -> Catalog {
-        let mut catalog = Catalog::default();
+    /// The list of these lines, for a node of that zone, if crossing has a price there; of two lines of one backend
+    /// the later holds.
+    pub fn of(lines: impl IntoIterator<Item = Target>, home: Option<u16>) -> Catalog {
+        let mut catalog = Catalog { home, ..Catalog::default() };
         lines.into_iter().for_each(|line| catalog.note(line));
         catalog
     }
@@ -59,117 +83,66 @@
     /// Takes one line.
     fn note(&mut self, line: Target) {
         let id = line.entry.backend;
-        let (zone, up) = (line.entry.zone, line.entry.health == Health::Up);
-        match self.zone_of.get(&id) {
-            Some(known) if *known != zone || line.entry.health == Health::Gone => self.forget(id),
-            Some(_) => {}
-            None if line.entry.health == Health::Gone => return,
-            None if self.zone_of.len() >= MOST_LINES => {
-                self.left_out += 1;
-                return;
-            }
-            None => {}
-        }
+        let full = self.len() >= MOST_LINES;
+        let near = self.home == Some(line.entry.zone);
+        let (ring, other) =
+            if near { (&mut self.near, &mut self.far) } else { (&mut self.far, &mut self.near) };
+        // It may have been listed in another zone.
+        let moved = other.remove(id);
         if line.entry.health == Health::Gone {
-            return;
-        }
-        let ring = self.rings.entry(zone).or_default();
-        let before = ring.lines.insert(mix(id.0), line);
-        ring.up += usize::from(up);
-        ring.up -= usize::from(before.is_some_and(|b| b.entry.health == Health::Up));
-        self.zone_of.insert(id, zone);
-    }
-
-    fn forget(&mut self, id: BackendId) {
-        let Some(zone) = self.zone_of.remove(&id) else { return };
-        let Some(ring) = self.rings.get_mut(&zone) else { return };
-        let before = ring.lines.remove(&mix(id.0));
-        ring.up -= usize::from(before.is_some_and(|b| b.entry.health == Health::Up));
-        if ring.lines.is_empty() {
-            self.rings.remove(&zone);
+            ring.remove(id);
+        } else if full && !moved && !ring.lines.contains_key(&mix(id.0)) {
+            self.left_out += 1;
+        } else {
+            ring.put(line);
         }
     }
 
     /// Its lines.
     pub fn len(&self) -> usize {
-        self.zone_of.len()
+        self.near.lines.len() + self.far.lines.len()
     }
 
     /// It has none.
     pub fn is_empty(&self) -> bool {
-        self.zone_of.is_empty()
+        self.len() == 0
     }
 
     /// Backends that are up.
     pub fn up(&self) -> usize {
-        self.rings.values().map(|r| r.up).sum()
+        self.near.up + self.far.up
     }
 
     /// A backend's line.
     pub fn get(&self, id: BackendId) -> Option<&Target> {
-        self.rings.get(self.zone_of.get(&id)?)?.lines.get(&mix(id.0))
+        let at = mix(id.0);
+        self.near.lines.get(&at).or_else(|| self.far.lines.get(&at))
     }
 
     fn lines(&self) -> impl Iterator<Item = &Target> {
-        self.rings.values().flat_map(|r| r.lines.values())
-    }
-}
-
-impl Ring {
-    /// Its lines from a place on, once around.
-    fn from(&self, at: u64) -> impl Iterator<Item = &Target> {
-        self.lines.range(at..).chain(self.lines.range(..at)).map(|(_, line)| line)
+        self.near.lines.values().chain(self.far.lines.values())
     }
-}
 
-impl Catalog {
-    /// The backends that this node works with: all, or those next on each zone's ring.
-    fn draw(&self, size: usize, slot: u32, home: Option<u16>) -> BTreeMap<BackendId, &Target> {
+    /// The backends that a node works with: all, or those next on the rings.
+    fn draw(&self, size: usize, slot: u32) -> BTreeMap<BackendId, &Target> {
         fn with_id(line: &Target) -> (BackendId, &Target) {
             (line.entry.backend, line)
         }
         if size == 0 || self.len() <= size {
             return self.lines().map(with_id).collect();
         }
+        // Half from the own zone, where it has so many; what the others do not have is its part, too.
+        let room = size.min(self.up());
+        let near = self.near.up.min((size / 2).max(room.saturating_sub(self.far.up)));
         let at = u64::from(slot).wrapping_mul(RING_STEP);
-        let up = |line: &&Target| line.entry.health == Health::Up;
-        let mut chosen: BTreeMap<BackendId, &Target> = (self.parts(size, slot, home).into_iter())
-            .flat_map(|(ring, part)| ring.from(at).filter(up).take(part))
-            .map(with_id)
-            .collect();
+        let next = self.near.next(at, near).chain(self.far.next(at, room - near));
+        let mut chosen: BTreeMap<BackendId, &Target> = next.map(with_id).collect();
         if chosen.is_empty() {
             // Nobody is up. That there is a list, and who drains, is to be seen all the same.
             chosen = self.lines().take(size).map(with_id).collect();
         }
         chosen
     }
-
-    /// How many each zone gives: half are of the home zone, where it has so many, the others by what the zones have.
-    fn parts(&self, size: usize, slot: u32, home: Option<u16>) -> Vec<(&Ring, usize)> {
-        let up = self.up();
-        let room = size.min(up);
-        let home_up = home.and_then(|zone| self.rings.get(&zone)).map_or(0, |ring| ring.up);
-        let others_up = up - home_up;
-        // What the others do not have is the home zone's too.
-        let home_part = home_up.min((size / 2).max(room.saturating_sub(others_up)));
-        let room = room - home_part;
-        // Cumulated and rounded with an offset of this node's own: over all nodes each zone gets its exact part.
-        let offset = u64::from(slot).wrapping_mul(ROUND_STEP) as f64 / 2.0_f64.powi(64);
-        let mut seen = 0;
-        let mut place = |ring: &Ring| {
-            let until =
-                |seen: usize| (room as f64 * seen as f64 / others_up.max(1) as f64 + offset).floor();
-            let before = until(seen);
-            seen += ring.up;
-            (until(seen) - before) as usize
-        };
-        (self.rings.iter())
-            .map(|(zone, ring)| {
-                let part = if Some(*zone) == home { home_part } else { place(ring) };
-                (ring, part)
-            })
-            .collect()
-    }
 }
 
 /// How the subset stands.
@@ -187,6 +160,11 @@
     pub joined: u64,
 }
 
+/// A node's zone, where crossing has a price.
+pub fn home(settings: &Settings) -> Option<u16> {
+    settings.zone.filter(|_| settings.prices.cross_zone > 0.0)
+}
+
 /// What the decisions are to be told.
 #[derive(Debug)]
 pub struct News {
@@ -204,8 +182,6 @@
     /// Backends in a subset; 0 for all of any list.
     size: usize,
     slot: u32,
-    /// This node's zone, where crossing has a price.
-    home: Option<u16>,
     catalog: Catalog,
     /// The list is longer than a subset.
     wide: bool,
@@ -217,25 +193,31 @@
 impl Subset {
     /// No list is known yet. `size`: backends in a subset, 0 for all of any list.
     pub fn new(size: usize, settings: &Settings) -> Subset {
-        let mut subset = Subset {
+        Subset {
             size,
-            slot: 0,
-            home: None,
-            catalog: Catalog::default(),
+            slot: settings.slot,
+            catalog: Catalog { home: home(settings), ..Catalog::default() },
             wide: false,
             held: BTreeMap::new(),
             joined: 0,
-        };
-        subset.retune(settings);
-        subset
+        }
     }
 
     /// Takes new settings. True: the subset has to be drawn anew, by news without lines.
     pub fn retune(&mut self, settings: &Settings) -> bool {
-        let before = (self.slot, self.home);
+        let before = (self.slot, self.catalog.home);
         self.slot = settings.slot;
-        self.home = settings.zone.filter(|_| settings.prices.cross_zone > 0.0);
-        self.wide && before != (self.slot, self.home)
+        self.settle(home(settings));
+        self.wide && before != (self.slot, self.catalog.home)
+    }
+
+    /// Puts the list in the order of that zone's nodes.
+    fn settle(&mut self, home: Option<u16>) {
+        if self.catalog.home != home {
+            let Catalog { near, far, left_out, .. } = std::mem::take(&mut self.catalog);
+            let lines = near.lines.into_values().chain(far.lines.into_values());
+            self.catalog = Catalog { left_out, ..Catalog::of(lines, home) };
+        }
     }
 
     /// Takes news of the list and says what the decisions are to hear of it.
@@ -243,10 +225,12 @@
         match kind {
             ListKind::Failed => News { kind, lines, old: None },
             ListKind::Full | ListKind::Saved if self.fits(lines.len()) && !self.wide => {
-                self.catalog = Catalog::of(lines.iter().cloned());
+                self.catalog = Catalog::of(lines.iter().cloned(), self.catalog.home);
                 News { kind, lines, old: None }
             }
-            ListKind::Full | ListKind::Saved => self.take_whole(kind, Catalog::of(lines)),
+            ListKind::Full | ListKind::Saved => {
+                self.take_whole(kind, Catalog::of(lines, self.catalog.home))
+            }
             ListKind::Changes if !self.wide && self.fits(self.catalog.len() + lines.len()) => {
                 lines.iter().cloned().for_each(|line| self.catalog.note(line));
                 News { kind, lines, old: None }
@@ -261,12 +245,16 @@
 
     /// The same of a whole list that was put together elsewhere, so that nobody waits for it.
     pub fn take_whole(&mut self, kind: ListKind, catalog: Catalog) -> News {
+        let home = self.catalog.home;
         if !self.wide && self.fits(catalog.len()) {
             self.catalog = catalog;
+            self.settle(home);
             return News { kind, lines: self.catalog.lines().cloned().collect(), old: None };
         }
         self.hold_all();
         let old = std::mem::replace(&mut self.catalog, catalog);
+        // The settings may have changed while it was put together.
+        self.settle(home);
         self.redraw(Some(old))
     }
 
@@ -309,7 +297,7 @@
     /// Draws the subset from the list as it is now; the news is what differs from what is held.
     fn redraw(&mut self, old: Option<Catalog>) -> News {
         self.wide = !self.fits(self.catalog.len());
-        let chosen = self.catalog.draw(self.size, self.slot, self.home);
+        let chosen = self.catalog.draw(self.size, self.slot);
         let mut lines = Vec::new();
         let mut leaving = 0;
         self.held.retain(|id, line| {
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -8,7 +8,7 @@
 use crate::upstream::Conn;
 use bytes::Bytes;
 use daleturn::control::asking::{Ask, Asking, Call, Next, Told};
-use daleturn::control::subset::{Catalog, Target};
+use daleturn::control::subset::{Catalog, Target, home};
 use daleturn::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use daleturn::wire::{Names, stable_hash};
 use hyper::header::HOST;
@@ -107,7 +107,7 @@
 }
 
 /// The same of a long text: no tree of the whole is made, and a whole list is put together.
-fn long_listing(text: &[u8], names: &Names) -> Result<Listing, serde_json::Error> {
+fn long_listing(text: &[u8], names: &Names, home: Option<u16>) -> Result<Listing, serde_json::Error> {
     #[derive(Deserialize)]
     struct Form<'a> {
         rev: u64,
@@ -123,7 +123,7 @@
     });
     let mut listing = Listing::of(rev, all.as_bool().unwrap_or(false), read);
     if let (true, Lines::Some(lines)) = (listing.all && listing.entries > MANY, &mut listing.lines) {
-        listing.lines = Lines::Whole(Catalog::of(std::mem::take(lines)));
+        listing.lines = Lines::Whole(Catalog::of(std::mem::take(lines), home));
     }
     Ok(listing)
 }
@@ -135,8 +135,8 @@
         let json = serde_json::from_slice(&text)?;
         return Ok(listing(&json, &rules.names).ok_or("not a list")?);
     }
-    let names = rules.names.of_zones();
-    Ok(tokio::task::spawn_blocking(move || long_listing(&text, &names)).await??)
+    let (names, home) = (rules.names.of_zones(), home(&rules.settings));
+    Ok(tokio::task::spawn_blocking(move || long_listing(&text, &names, home)).await??)
 }
 
 fn target(line: &Value, names: &Names) -> Result<Target, &'static str> {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -17,6 +17,7 @@
     Action, BackendFigures, BackendId, Ended, Entry, Event, FleetNews, Found, Health, ListKind, Memory,
     Note, Outcome, Reporting, Request, RequestId, Settings,
 };
+use daleturn::options::Options;
 use daleturn::wire::stable_hash;
 use hyper::StatusCode;
 use serde_json::{Value, json};
@@ -176,6 +177,11 @@
     Message(u32, Vec<u8>),
 }
 
+/// How long times are kept in the figures.
+pub fn window(options: &Options) -> Duration {
+    Duration::from_secs(options.stats.window_s.into())
+}
+
 fn probe_path(settings: &Settings) -> &'static str {
     if settings.reporting == Reporting::None { "/alive" } else { "/metrics/load" }
 }
@@ -342,16 +348,15 @@
         peers: Option<Rc<Peers>>,
         state: Rc<State>,
         watch: mpsc::UnboundedSender<bool>,
-        window: Duration,
-        subset: u32,
+        options: &Options,
     ) -> Rc<Driver> {
         Rc::new(Driver {
             core: RefCell::new(Core {
                 balancer,
-                stats: Stats::new(window),
+                stats: Stats::new(window(options)),
                 open: HashMap::new(),
                 places: HashMap::new(),
-                subset: Subset::new(subset as usize, &rules.settings),
+                subset: Subset::new(options.list.subset as usize, &rules.settings),
                 listed: HashMap::new(),
                 cordoned: state.cordoned(),
                 zones: None,
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -20,7 +20,7 @@
 mod zoning;
 
 use crate::discovery::Watch;
-use crate::driver::{Driver, Input};
+use crate::driver::{Driver, Input, window};
 use crate::durable::{Durable, Kept};
 use crate::handover::Handover;
 use crate::log::{Log, say};
@@ -127,10 +127,6 @@
     }
 }
 
-fn window(options: &Options) -> Duration {
-    Duration::from_secs(options.stats.window_s.into())
-}
-
 /// Stores what was learned, and who is out, once a second at most, each node at a moment of its own.
 async fn keep(durable: Rc<Durable>, driver: Rc<Driver>, rules: Rc<Current>) {
     let mut out = driver.out();
@@ -196,16 +192,8 @@
     };
     let balancer = Balancer::new(settings.clone(), config.seed)?;
     let (wish, wishes) = mpsc::unbounded_channel();
-    let driver = Driver::new(
-        balancer,
-        &rules.get(),
-        upstream.clone(),
-        peers.clone(),
-        state.clone(),
-        wish,
-        window(&options),
-        options.list.subset,
-    );
+    let driver =
+        Driver::new(balancer, &rules.get(), upstream.clone(), peers.clone(), state.clone(), wish, &options);
     driver.still_out(kept.cordons.keys());
     driver.take(Input::Start);
     let names = &rules.get().names;
