--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -196,7 +196,8 @@
 /// A quarter of the size that the operators expect in each way, so a subset is as large a part as there.
 #[test]
 fn each_backend_is_held_by_about_as_many_nodes_as_any_other_however_nodes_stand_in_zones() {
-    let homes: [(&str, fn(u32) -> Option<u16>); 3] = [
+    type Home = fn(u32) -> Option<u16>;
+    let homes: [(&str, Home); 3] = [
         ("no price", |_| None),
         ("zone by zone", |slot| Some((slot / 88).min(11) as u16)),
         ("in turn", |slot| Some((slot % 12) as u16)),
