Notice discovery's return within the drain grace, and within 6 s where it is asked

Where discovery is asked, the decisions' pause grows to 10 s and more with 300 nodes, and a watch begun while it hung had its whole wait; a change counts as told 6 s after discovery has it and can be reached.

Change: for as long as nothing was heard, a pushed list is asked for in short tries (a quarter of the drain grace) beside the call that may hang. Where discovery is asked, the node goes on by itself within 2.9 s of its last call, and such a call waits 2 s at most. Failed calls are logged once a second, with their count.

Checked: the property and the socket test of each half fail without it (four breaks).

--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -4,6 +4,11 @@
 //! What discovery has to tell counts as told at a certain moment, whether or not it has arrived. Whoever waits knows
 //! that moment and asks anew before it, with time for one more failure: each such call gets half of the time that is
 //! left. `docs/design.md` has the bounds of each way in which the list arrives.
+//!
+//! For as long as nothing was heard since a failure, nobody knows when discovery returns. Where lists are pushed, what it
+//! has at its return counts at once, so short tries on a connection of their own run beside each call, which may hang
+//! across that moment. Where it is asked, each call costs the one service of all nodes, and rounds of a length that
+//! leaves time for one failure do.
 
 use crate::interface::Discovery;
 
@@ -32,6 +37,16 @@
 const LAST_PAUSE_MS: f64 = 150.0;
 /// The same where one service answers all nodes in turn.
 const ASKED_PAUSE_MS: f64 = 100.0;
+/// Where discovery is asked and was not heard since a failure, its news counts as told 6 s after its return: from one
+/// call to the next it is so long at most, whatever the decisions wish, and two of them leave time for an answer.
+const ROUND_MS: f64 = 2900.0;
+/// Longest wait for news of such a call: nobody can tell whether it waits or hangs, so it has to end within a round.
+const UNHEARD_WAIT_MS: f64 = 2000.0;
+/// Length of a short try, where lists are pushed, as a part of the drain grace, and its bounds: the return, the next try
+/// and its answer come well within that grace, and a service that is down is tried no more often than one that refuses.
+const TRY_OF_GRACE: f64 = 0.25;
+const LEAST_TRY_MS: f64 = 40.0;
+const MOST_TRY_MS: f64 = 125.0;
 /// Pauses between whole lists while some line cannot be read: doubled from the first to the last.
 const SPOILT_MS: f64 = 100.0;
 const LAST_SPOILT_MS: f64 = 20_000.0;
@@ -59,6 +74,9 @@
     pub ask: Ask,
     /// Milliseconds after which its answer is not waited for any more.
     pub limit_ms: f64,
+    /// While it is out, the same is asked on another connection, in tries of so many milliseconds, one after the other;
+    /// what is answered first counts.
+    pub try_ms: Option<f64>,
     begun: f64,
 }
 
@@ -96,6 +114,11 @@
 pub struct Asking {
     how: Discovery,
     longest_wait: f64,
+    try_ms: f64,
+    /// Nothing was heard since a failure, or, where lists are pushed, since the start.
+    unheard: bool,
+    /// The next call is made then at the latest, though the decisions do not wish for it.
+    again_at: Option<f64>,
     /// The version that changes are asked from; none where only the whole list can tell.
     version: Option<u64>,
     /// The decisions wish for news. Where lists are pushed there is no need to.
@@ -117,6 +140,9 @@
         Asking {
             how,
             longest_wait: longest_wait(how, must_ask_in_ms),
+            try_ms: MOST_TRY_MS,
+            unheard: how == Discovery::Pushed,
+            again_at: None,
             version: known,
             wanted: how == Discovery::Pushed,
             due: None,
@@ -132,19 +158,21 @@
     /// whole list is asked for, at once, whatever pace the old one had earned.
     pub fn moved(&mut self, now: f64, how: Discovery) {
         let rng = self.rng.clone();
-        *self = Asking { rng, ..Asking::new(how, self.longest_wait, None, 0) };
+        *self = Asking { rng, try_ms: self.try_ms, ..Asking::new(how, self.longest_wait, None, 0) };
         self.wanted = true;
         self.due = Some(now + MOVED_MS);
     }
 
-    /// The settings give this time for asking, from the next call on.
-    pub fn retune(&mut self, must_ask_in_ms: f64) {
+    /// The settings give these times for asking and for drains, in milliseconds, from the next call on.
+    pub fn retune(&mut self, must_ask_in_ms: f64, drain_grace_ms: f64) {
         self.longest_wait = longest_wait(self.how, must_ask_in_ms);
+        self.try_ms = (drain_grace_ms * TRY_OF_GRACE).clamp(LEAST_TRY_MS, MOST_TRY_MS);
     }
 
     /// The decisions wish for news, or for none.
     pub fn wish(&mut self, wanted: bool) {
         self.wanted = wanted || self.how == Discovery::Pushed;
+        self.again_at = self.again_at.filter(|_| wanted);
     }
 
     /// The version of the list that is known, unless part of it could not be read.
@@ -155,7 +183,11 @@
     /// What to do now.
     pub fn next(&mut self, now: f64) -> Next {
         if !self.wanted {
-            return Next::Rest;
+            let Some(at) = self.again_at else { return Next::Rest };
+            if now < at {
+                return Next::Pause(at - now);
+            }
+            self.wanted = true;
         }
         if now < self.pause_until {
             return Next::Pause(self.pause_until - now);
@@ -163,23 +195,31 @@
         let ask = match self.version {
             Some(after) if self.whole_at.is_none_or(|at| now < at) => {
                 // Something may have been missed: what there is must come now.
-                let wait = if self.due.is_some() { 0.0 } else { self.draw(self.longest_wait) };
+                let wait = match self.how {
+                    _ if self.due.is_some() => 0.0,
+                    Discovery::Pushed if self.unheard => 0.0,
+                    _ if self.unheard => self.draw(self.longest_wait.min(UNHEARD_WAIT_MS)),
+                    _ => self.draw(self.longest_wait),
+                };
                 let wait = self.whole_at.map_or(wait, |at| wait.min(at - now));
                 Ask::Changes { after, wait_ms: wait.ceil().max(1.0) as u64 }
             }
             _ => Ask::Whole,
         };
         let limit_ms = match (ask, self.due) {
-            (Ask::Changes { wait_ms, .. }, None) => wait_ms as f64 + LATE_MS,
             (_, Some(due)) => ((due - now) / 2.0).clamp(LEAST_MS, PROMPT_MS),
-            (Ask::Whole, None) => PROMPT_MS,
+            (Ask::Changes { wait_ms, .. }, None) if wait_ms > 1 => wait_ms as f64 + LATE_MS,
+            _ => PROMPT_MS,
         };
-        Next::Call(Call { ask, limit_ms, begun: now })
+        let tries = self.unheard && self.how == Discovery::Pushed;
+        let try_ms = tries.then(|| self.draw(self.try_ms));
+        Next::Call(Call { ask, limit_ms, try_ms, begun: now })
     }
 
     /// A call was answered. True: its lines hold; false: they are of another count, and only a whole list tells.
     pub fn answered(&mut self, now: f64, call: &Call, told: Told) -> bool {
         self.due = None;
+        (self.unheard, self.again_at) = (false, None);
         let before = self.version;
         if !told.all && before.is_none_or(|version| told.version < version) {
             self.version = None;
@@ -208,7 +248,9 @@
 
     /// A call failed, or its time is over. True: the decisions pace what follows, and have to be told.
     pub fn failed(&mut self, now: f64, call: &Call) -> bool {
+        let heard = !std::mem::replace(&mut self.unheard, true);
         if let (Ask::Changes { wait_ms, .. }, None) = (call.ask, self.due)
+            && heard
             && now - call.begun >= wait_ms as f64
         {
             // Its wait was over with no answer, whatever ended it then: it may have been silent from its first moment.
@@ -224,6 +266,8 @@
             // Each call costs the one service of all nodes.
             self.wanted = false;
             self.vain = 0;
+            // The drawn part keeps nodes out of step that failed together.
+            self.again_at = Some(call.begun + ROUND_MS * 0.5 + self.draw(ROUND_MS * 0.5));
             return true;
         }
         self.rest(now);
@@ -233,7 +277,8 @@
     fn rest(&mut self, now: f64) {
         let first = if self.how == Discovery::Pushed { FIRST_PAUSE_MS } else { ASKED_PAUSE_MS };
         // Where news is about to count as told, time has to be left for the call after this pause.
-        let last = self.due.map_or(LAST_PAUSE_MS, |due| (due - now) / 4.0);
+        let longest = if self.how == Discovery::Pushed { self.try_ms } else { LAST_PAUSE_MS };
+        let last = self.due.map_or(longest, |due| longest.min((due - now) / 4.0));
         let pause = (first * f64::from(1_u32 << self.vain.min(12))).min(last);
         self.vain = self.vain.saturating_add(1);
         self.pause_until = now + self.draw(pause);
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -13,6 +13,7 @@
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde_json::Value;
+use std::cell::Cell;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +22,8 @@
 
 /// The whole list may be a great deal larger than a request.
 const LIST_LIMIT: usize = 8 * 1024 * 1024;
+/// Of calls that go on failing, one in so many milliseconds is told.
+const TELL_FAILED_MS: f64 = 1000.0;
 /// An answer of discovery, or the list that a node starts with.
 pub struct Listing {
     rev: u64,
@@ -127,29 +130,42 @@
         let mut address = self.address.clone();
         let (mut at, _) = *address.borrow_and_update();
         let mut conn = None;
-        let mut failing = false;
+        let mut failures = Failures::default();
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
                 self.asking.wish(wish);
             }
-            self.asking.retune(self.rules.get().settings.must_ask_in_ms);
+            let settings = &self.rules.get().settings;
+            self.asking.retune(settings.must_ask_in_ms, settings.drain_grace_ms);
             let next = self.asking.next(driver.clock.now_ms());
             let step = async {
                 match next {
                     Next::Rest => Step::Wished(self.wishes.recv().await),
-                    Next::Pause(ms) => {
-                        tokio::time::sleep(Duration::from_secs_f64(ms / 1000.0)).await;
-                        Step::Rested
-                    }
+                    Next::Pause(ms) => tokio::select! {
+                        // The decisions may wish for the next call sooner.
+                        wish = self.wishes.recv() => Step::Wished(wish),
+                        () = tokio::time::sleep(span(ms)) => Step::Rested,
+                    },
                     Next::Call(call) => {
-                        let limit = Duration::from_secs_f64(call.limit_ms / 1000.0);
-                        let answer = exchange(at, &call, &self.rules, &self.descriptors, &mut conn);
-                        let answer = tokio::time::timeout(limit, answer).await;
-                        Step::Called(call, answer.unwrap_or_else(|late| Err(late.into())))
+                        let tries = Cell::new(0);
+                        let (rules, descriptors) = (&self.rules, &self.descriptors);
+                        let (answer, other) = tokio::select! {
+                            biased;
+                            answer = exchange(at, &call, rules, descriptors, &mut conn) => (answer, None),
+                            (listing, other) = try_beside(at, &call, rules, descriptors, &tries) => {
+                                (Ok(listing), other)
+                            }
+                            () = tokio::time::sleep(span(call.limit_ms)) => {
+                                (Err("no answer in time".into()), None)
+                            }
+                        };
+                        let overtaken = other.is_some();
+                        conn = other.or(conn.take());
+                        Step::Called(Called { call, tries: tries.get(), overtaken }, answer)
                     }
                 }
             };
-            let (call, answer) = tokio::select! {
+            let (Called { call, tries, overtaken }, answer) = tokio::select! {
                 // What the old address still says is dropped with the call: the new one may count anew.
                 biased;
                 (new, how) = moved(&mut address) => {
@@ -164,15 +180,19 @@
                         continue;
                     }
                     Step::Rested => continue,
-                    Step::Called(call, answer) => (call, answer),
+                    Step::Called(called, answer) => (called, answer),
                 },
             };
             let now = driver.clock.now_ms();
             match answer {
                 Ok(listing) => {
-                    if failing {
-                        say!(INFO, "discovery", "discovery.recovered");
-                        failing = false;
+                    if overtaken {
+                        failures.tell(now, &call, tries, false, "a try beside it was answered first");
+                    }
+                    if failures.calls > 0 {
+                        let Failures { calls: failed, tries, .. } = failures;
+                        say!(INFO, "discovery", failed, tries, "discovery.recovered");
+                        failures = Failures::default();
                     }
                     let Listing { rev: version, all, skipped, targets } = listing;
                     if !targets.is_empty() {
@@ -192,11 +212,7 @@
                     conn = None;
                     let paced = self.asking.failed(now, &call);
                     // Calls that the decisions pace are few: each failure is told.
-                    if !failing || paced {
-                        let (reason, after_ms) = (e.to_string(), call.after_ms(now));
-                        say!(WARN, "discovery", after_ms, reason = reason.as_str(), "discovery.failed");
-                        failing = true;
-                    }
+                    failures.tell(now, &call, tries, paced, &e.to_string());
                     if paced {
                         driver.take(Input::List(ListKind::Failed, Vec::new()));
                     }
@@ -210,7 +226,66 @@
 enum Step {
     Wished(Option<bool>),
     Rested,
-    Called(Call, Result<Listing, Box<dyn Error>>),
+    /// A call, and what came of it.
+    Called(Called, Result<Listing, Box<dyn Error>>),
+}
+
+struct Called {
+    call: Call,
+    /// Short tries beside it that failed.
+    tries: u32,
+    /// One of them was answered while it hung.
+    overtaken: bool,
+}
+
+/// Calls that failed since something was heard.
+#[derive(Default)]
+struct Failures {
+    calls: u64,
+    /// Short tries beside them.
+    tries: u64,
+    told_at: Option<f64>,
+}
+
+impl Failures {
+    /// One more; it is told if it is the first, if it always is, or if none was for a second.
+    fn tell(&mut self, now: f64, call: &Call, tries: u32, always: bool, reason: &str) {
+        self.calls += 1;
+        self.tries += u64::from(tries);
+        if always || self.told_at.is_none_or(|at| now - at >= TELL_FAILED_MS) {
+            self.told_at = Some(now);
+            let (after_ms, failed, tries) = (call.after_ms(now), self.calls, self.tries);
+            say!(WARN, "discovery", after_ms, reason, failed, tries, "discovery.failed");
+        }
+    }
+}
+
+fn span(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1000.0)
+}
+
+/// Short tries beside a call that may hang, each on a connection of its own; for ever where the call wants none.
+async fn try_beside(
+    at: SocketAddr,
+    call: &Call,
+    rules: &Current,
+    descriptors: &Rc<Descriptors>,
+    failed: &Cell<u32>,
+) -> (Listing, Option<Conn>) {
+    let Some(try_ms) = call.try_ms else { return std::future::pending().await };
+    // The call itself is the first try.
+    tokio::time::sleep(span(try_ms)).await;
+    loop {
+        // One that fails sooner than its time is not repeated sooner.
+        let over = tokio::time::sleep(span(try_ms));
+        let mut conn = None;
+        let answer = exchange(at, call, rules, descriptors, &mut conn);
+        if let Ok(Ok(listing)) = tokio::time::timeout(span(try_ms), answer).await {
+            return (listing, conn);
+        }
+        failed.set(failed.get() + 1);
+        over.await;
+    }
 }
 
 async fn exchange(
--- a/tests/node_discovery.rs
+++ b/tests/node_discovery.rs
@@ -245,3 +245,62 @@
         }
     }
 }
+
+#[test]
+fn a_pushed_list_is_asked_for_beside_a_call_that_hangs() {
+    let record = Record::default();
+    let address = backends(1, &record, |_, _| ok(b"x"))[0];
+    let calls = Record::default();
+    let opened = calls.clone();
+    let seen = Seen::default();
+    let up = seen.clone();
+    let back = AtomicBool::new(false);
+    // It hangs for the whole of every call that was begun alone, however many there are, and is back for one that is
+    // begun beside such a call.
+    let discovery = backend(&calls, move |n, message| {
+        if n > 0 {
+            up.wait();
+            back.fetch_or(opened.open_now() > 1, SeqCst);
+        }
+        if !back.load(SeqCst) || n < 3 {
+            return Act::Silent;
+        }
+        if watches(message) && n > 20 {
+            return Act::Parts(vec![(100, list(2, false, &[]))]);
+        }
+        Act::Say(list(2, true, &[target("s-0", address, "draining")]))
+    });
+    let node = Node::start(discovery, |c| {
+        c["known"] = json!({"rev": 1, "all": true, "targets": [target("s-0", address, "up")]});
+    });
+    seen.0.store(true, SeqCst);
+    wait_for("the drain is known", || node.up() == 503);
+    assert_eq!(record.count(), 0, "nothing was sent to it");
+}
+
+#[test]
+fn a_large_fleet_asks_again_though_its_decisions_would_wait_longer_than_news_may() {
+    let record = Record::default();
+    let address = backends(1, &record, |_, _| ok(b"x"))[0];
+    let seen = Seen::default();
+    let up = seen.clone();
+    let discovery = backend(&Record::default(), move |n, message| {
+        if n == 0 {
+            return Act::Say(list(1, true, &[target("s-0", address, "up")]));
+        }
+        up.wait();
+        match n {
+            // The watch and the call after it are reset; the decisions would wait up to 5 s, then up to 20.
+            1 | 2 => Act::SayAndClose(Vec::new()),
+            _ if watches(message) && n > 3 => Act::Parts(vec![(100, list(2, false, &[]))]),
+            _ => Act::Say(list(2, true, &[target("s-0", address, "draining")])),
+        }
+    });
+    let node = Node::start(discovery, |c| {
+        c["settings"]["membershipMode"] = "on_request".into();
+        c["settings"]["instances"] = 300.into();
+    });
+    seen.0.store(true, SeqCst);
+    wait_for("the drain is known", || node.up() == 503);
+    assert_eq!(node.logged("discovery.failed"), 2, "each call that the decisions pace is told");
+}
