Let the lab list each server under many names, for long lists on few machines

Need: a long list has to be shown by several processes with faults between them, on a machine that holds some dozen servers.

--- a/crates/lab/src/real/discovery.rs
+++ b/crates/lab/src/real/discovery.rs
@@ -144,9 +144,14 @@
             .filter_map(|(name, e)| {
                 let endpoint = world.host(e.server)?.address(node)?;
                 let zone = world.plan.machines.get(e.server)?.zone;
-                Some(json!({"uid": name, "endpoint": endpoint.to_string(), "az": zones.get(zone), "model": "m",
-                            "pod_group": zone, "state": e.state, "capacity_hint": 1.0, "boot_ms": e.boot_ms}))
+                let line = move |uid: String| {
+                    json!({"uid": uid, "endpoint": endpoint.to_string(), "az": zones.get(zone), "model": "m",
+                           "pod_group": zone, "state": e.state, "capacity_hint": 1.0, "boot_ms": e.boot_ms})
+                };
+                let further = (1..world.plan.scenario.fleet.names).map(move |n| format!("{name}.{n}"));
+                Some(std::iter::once(name.clone()).chain(further).map(line))
             })
+            .flatten()
             .collect();
         json!({"rev": list.version, "all": after.is_none(), "targets": targets})
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -58,6 +58,8 @@
     pub nodes: usize,
     /// Servers, dealt out over the zones.
     pub servers: usize,
+    /// Names under which discovery lists each server: a long list on few servers. On real processes only.
+    pub names: usize,
     /// Cores of a server.
     pub cores: f64,
     /// Speed of a core, drawn between these; 1 is the yardstick that work is told in.
@@ -106,6 +108,7 @@
             zones: ["monza-a", "monza-b", "seregno-a", "seregno-b"].map(String::from).to_vec(),
             nodes: 4,
             servers: 12,
+            names: 1,
             cores: 2.0,
             speed: [0.85, 1.7],
             slots_per_core: 4.0,
@@ -656,6 +659,7 @@
             ("seconds", self.seconds, 1.0, 86_400.0),
             ("fleet.nodes", f.nodes as f64, 1.0, 100_000.0),
             ("fleet.servers", f.servers as f64, 1.0, 100_000.0),
+            ("fleet.names", f.names as f64, 1.0, 10_000.0),
             ("fleet.cores", f.cores, 0.1, 1024.0),
             ("fleet.cold_from", f.cold_from, 0.01, 1.0),
             ("fleet.cold_s", f.cold_s, 0.0, 3600.0),
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -48,6 +48,9 @@
     /// A trouble is not modelled.
     #[error("trouble {0}: {1} is played on real processes only")]
     Kind(usize, String),
+    /// Servers have more names than one.
+    #[error("fleet.names: {0} is played on real processes only")]
+    Names(usize),
     /// Its settings are none that a node could run on.
     #[error("settings: {0}")]
     Settings(String),
@@ -328,6 +331,9 @@
 /// # Errors
 /// It asks for something that is not modelled.
 pub fn simulate(scenario: &Scenario, seed: u64) -> Result<Simulated, SimError> {
+    if scenario.fleet.names > 1 {
+        return Err(SimError::Names(scenario.fleet.names));
+    }
     let plan = Plan::draw(scenario, seed);
     for fault in &plan.faults {
         let said = fault.kind == Kind::NodeCall
