Measure members in virtual time and hollow nodes before discovery

Members' machines are played in virtual time at 10 to 4,200, hollow nodes with the node's own course of asking call one discovery over loopback sockets.

--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -3,6 +3,9 @@
 //! Each part measures one role and hands back [`Series`]; it writes no file and prints nothing. A part is bounded in
 //! time, processes and memory, and ends what it has started on every way out.
 
+pub mod discovery;
+pub mod members;
+
 use serde::{Deserialize, Serialize};
 use std::path::PathBuf;
 use thiserror::Error;
