--- a/crates/lab/examples/capacity-part.rs
+++ b/crates/lab/examples/capacity-part.rs
@@ -1,5 +1,6 @@
-//! Measures one role at size and writes its series as JSON to standard output: `members` or `discovery`, then `quick`
-//! or `full`, then how often each size is measured; of `members` just those from a least to a most size where they are given.
+//! Measures one role at size and writes its series as JSON to standard output: `members` or `discovery`,
+//! then `quick` or `full`, then how often each size is measured; of `members` just those from a least to a
+//! most size where they are given.
 
 use daleturn_lab::capacity::{Measure, discovery, members};
 use std::error::Error;
