--- a/crates/lab/src/capacity/discovery.rs
+++ b/crates/lab/src/capacity/discovery.rs
@@ -624,6 +624,13 @@
     }
 }
 
+/// Two ends of each connection, the old ones besides while a storm lasts, and what the process has, may all be
+/// open.
+fn fits(watches: usize) -> bool {
+    let open = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
+    watches as u64 * 4 + 300 <= open
+}
+
 /// Plays hollow nodes before the service: watches with [`FEW_BACKENDS`], and backends with [`FEW_WATCHES`].
 ///
 /// # Errors
@@ -631,9 +638,6 @@
 /// Sockets or threads cannot be had.
 pub fn measure(m: &Measure) -> Result<Vec<Series>, MeasureError> {
     let mut found = Found::default();
-    let open = rustix::process::getrlimit(rustix::process::Resource::Nofile).current.unwrap_or(u64::MAX);
-    // Two ends of each connection, the old ones besides while a storm lasts, and what the process has.
-    let fits = |watches: &usize| (*watches as u64) * 4 + 300 <= open;
     let (watches, backends): (&[usize], &[usize]) = if m.quick {
         (&[10, 30, 100, 300], &[100, 300, 1000, 3000])
     } else {
@@ -642,7 +646,7 @@
     let rounds = if m.quick { 1 } else { m.repetitions.clamp(1, 3) };
     let (rest_ms, away) = if m.quick { (500, 200) } else { (5000, 2000) };
     let away = Duration::from_millis(away);
-    for &count in watches.iter().filter(|w| fits(w)) {
+    for &count in watches.iter().filter(|w| fits(**w)) {
         for round in 0..rounds {
             let seed = m.seed ^ (count as u64) << 20 ^ round as u64;
             let few = if m.quick { 100 } else { FEW_BACKENDS };
@@ -691,7 +695,8 @@
 /// The largest list before a growing number of watches: where calls begin to end before their lists are
 /// whole.
 fn largest(found: &mut Found, seed: u64) -> Result<(), MeasureError> {
-    for watches in [3, 10, 30, 100, 200, 300, 500] {
+    let sizes = [3, 10, 30, 100, 200, 300, 500, 1000, 1500, 2500, 4200];
+    for watches in sizes.into_iter().filter(|w| fits(*w)) {
         if let Some(play) = Play::begin(found, "watches", watches, MOST_BACKENDS, Discovery::Pushed, seed)?
         {
             play.moved(found, "watches", "largest")?;
