--- a/crates/lab/src/capacity/discovery.rs
+++ b/crates/lab/src/capacity/discovery.rs
@@ -5,7 +5,7 @@
 //! an answer it reads version and kind, and drops the lines. The service has a thread of its own, whose
 //! processor time is its cost; it writes a list once for each version, all answers share those bytes, so
 //! the cost of `list_written` is not in the others. The kernel's work for what it sends is in it. Each
-//! goal is waited for [`REACH`] at most: one that is not reached is no point, and `..._not_reached` counts
+//! goal is waited for `REACH` at most: one that is not reached is no point, and `..._not_reached` counts
 //! it. Sizes that need more descriptors than the process may open are left out.
 
 use super::{Measure, MeasureError, Point, Series};
@@ -631,7 +631,7 @@
     watches as u64 * 4 + 300 <= open
 }
 
-/// Plays hollow nodes before the service: watches with [`FEW_BACKENDS`], and backends with [`FEW_WATCHES`].
+/// Plays hollow nodes before the service: watches with 1,000 backends, and backends with 100 watches.
 ///
 /// # Errors
 ///
--- a/crates/lab/src/capacity/members.rs
+++ b/crates/lab/src/capacity/members.rs
@@ -2,10 +2,10 @@
 //! `daleturn::control::fleet` in virtual time, over a network that loses and delays as links between
 //! regions do.
 //!
-//! Every node asks [`TENANTS`] tenants, so that each wave is as long as it gets. Bytes count both ways and
-//! with [`HEADERS`] for each datagram. What is random is drawn by each sender, and events of one moment
+//! Every node asks twelve tenants, so that each wave is as long as it gets. Bytes count both ways and
+//! with 28 of headers for each datagram. What is random is drawn by each sender, and events of one moment
 //! are taken in the order of their receivers and senders, so a play is always the same; just processor
-//! time and memory are the machine's. Times are virtual and end at [`REACH_MS`]: a goal that is not
+//! time and memory are the machine's. Times are virtual and end at 60 s: a goal that is not
 //! reached by then is no point of the series, and `..._not_reached` counts it.
 
 use super::{Measure, MeasureError, Point, Series};
