--- a/crates/lab/src/capacity/discovery.rs
+++ b/crates/lab/src/capacity/discovery.rs
@@ -5,7 +5,7 @@
 //! an answer it reads version and kind, and drops the lines. The service has a thread of its own, whose
 //! processor time is its cost; it writes a list once for each version, all answers share those bytes, so
 //! the cost of `list_written` is not in the others. The kernel's work for what it sends is in it. Each
-//! goal is waited for `REACH` at most: one that is not reached is no point, and `..._not_reached` counts
+//! goal is waited for 20 s at most: one that is not reached is no point, and `..._not_reached` counts
 //! it. Sizes that need more descriptors than the process may open are left out.
 
 use super::{Measure, MeasureError, Point, Series};
