--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -110,6 +110,9 @@
         #[arg(long, value_name = "FILE")]
         json: Option<PathBuf>,
     },
+    /// Measures what each role costs at size, and draws slopes from it
+    #[command(after_help = crate::capacity::EXAMPLES)]
+    Capacity(crate::capacity::Args),
     /// Measures what the node costs beside a plain pass-through, in turns on one core each
     Cost {
         /// The node's program, in place of the one beside this command
@@ -238,7 +241,7 @@
     next: Option<PathBuf>,
 }
 
-fn node(given: Option<&Path>) -> Result<PathBuf, String> {
+pub fn node(given: Option<&Path>) -> Result<PathBuf, String> {
     if let Some(path) = given {
         return if path.is_file() {
             Ok(path.to_owned())
@@ -651,6 +654,7 @@
             };
             load_for(load, json.as_deref())
         }
+        Command::Capacity(args) => crate::capacity::run(args),
         Command::Cost { node: given, pairs } => cost(node(given.as_deref())?, *pairs),
         Command::Sweep { file, set, seeds, node: given, report } => {
             let program = node(given.as_deref())?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //! in the libraries.
 
 mod call;
+mod capacity;
 mod config;
 mod lab;
 mod page;
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -3,8 +3,12 @@
 //! Each part measures one role and hands back [`Series`]; it writes no file and prints nothing. A part is bounded in
 //! time, processes and memory, and ends what it has started on every way out.
 
+pub mod fit;
+pub mod node;
+pub mod out;
+
 use serde::{Deserialize, Serialize};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use thiserror::Error;
 
 /// How one run is to be measured.
@@ -59,3 +63,54 @@
     #[error("{0}")]
     Late(String),
 }
+
+/// What measures some roles.
+pub struct Part {
+    /// The roles whose series it hands back.
+    pub roles: &'static [&'static str],
+    /// Measures; the second is the program of a node to be measured beside, for parts that can.
+    pub measure: fn(&Measure, Option<&Path>) -> Result<Vec<Series>, MeasureError>,
+}
+
+/// All parts, in the order in which they are measured.
+pub const PARTS: &[Part] = &[
+    Part { roles: &["node"], measure: node::measure_beside },
+    // Further parts stand here, one line each.
+];
+
+/// The size ahead on an axis: what the fleet is planned to be, for one node where the axis is of a node.
+pub fn ahead(axis: &str) -> Option<f64> {
+    Some(match axis {
+        "backends" => 47_000.0,
+        "tenants" => 110_000.0,
+        "classes" => 22_000.0,
+        "members" | "nodes" => 4_200.0,
+        "zones" => 12.0,
+        // 770,000 over 4,200 nodes.
+        "requests_per_s" => 183.0,
+        // 7,800 changes of configuration and 5,800 restarts a day, each of which leaves and comes back.
+        "changes_per_s" => 0.225,
+        _ => return None,
+    })
+}
+
+/// Measures the named roles, or all; series of other roles that a part measures in passing are left out. `told` is told
+/// which part is measured.
+///
+/// # Errors
+/// The first part's that fails.
+pub fn measure(
+    m: &Measure,
+    before: Option<&Path>,
+    roles: &[String],
+    mut told: impl FnMut(&'static [&'static str]),
+) -> Result<Vec<Series>, MeasureError> {
+    let named = |role: &str| roles.is_empty() || roles.iter().any(|r| r == role);
+    let mut all = Vec::new();
+    for part in PARTS.iter().filter(|p| p.roles.iter().any(|r| named(r))) {
+        told(part.roles);
+        let series = (part.measure)(m, before)?;
+        all.extend(series.into_iter().filter(|s| named(s.role.trim_end_matches("-before"))));
+    }
+    Ok(all)
+}
--- /dev/null
+++ b/crates/lab/src/capacity/node.rs
@@ -0,0 +1,479 @@
+//! What one node costs at size: a real process before a hollow discovery, whose backends are dead, or many names of a
+//! few hollow servers.
+//!
+//! Processor time is the process's own, of all its threads, as the system counts it in nanoseconds. Each process runs
+//! under a shell that ends it, and removes its files, when this program ends in whatever way.
+
+mod hollow;
+mod process;
+
+use super::{Measure, MeasureError, Point, Series};
+use hollow::{Answering, Client, Gaps, Hollow, Servers, dead_port};
+use process::Process;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// A whole run takes no longer.
+const LONGEST: Duration = Duration::from_secs(40 * 60);
+/// Nor does anything that a node is waited for.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Live servers behind all names of the list.
+const LIVE: usize = 8;
+/// Keys of keyed requests.
+const KEYS: usize = 16;
+/// After what a node was asked to do, it is left this long to come to rest.
+const SETTLED: Duration = Duration::from_millis(3);
+/// Requests of one kind are not sent for longer.
+const ENOUGH: Duration = Duration::from_secs(4);
+/// Zones of the lists, but on the axis of zones.
+const ZONES: usize = 12;
+
+/// Sizes and lengths of one run.
+struct Extent {
+    backends: Vec<usize>,
+    tenants: Vec<usize>,
+    classes: Vec<usize>,
+    zones: Vec<usize>,
+    change_rates: Vec<usize>,
+    request_rates: Vec<usize>,
+    /// Backends on the axes of zones, of changes and of requests.
+    few: [usize; 3],
+    /// For how long a node at rest is looked at, and one that works at a rate.
+    rest: Duration,
+    /// Single changes, whole lists and requests of each kind.
+    times: [usize; 3],
+}
+
+impl Extent {
+    fn of(m: &Measure) -> Extent {
+        if m.quick {
+            return Extent {
+                backends: vec![20, 60, 200, 600, 1000],
+                tenants: vec![20, 60, 200, 600, 1000],
+                classes: vec![5, 15, 50, 150, 250],
+                zones: vec![1, 2, 4, 12, 32],
+                change_rates: vec![5, 15, 50, 100, 150],
+                request_rates: vec![10, 30, 100, 200, 300],
+                few: [100, 100, 50],
+                rest: Duration::from_millis(300),
+                times: [5, 2, 20],
+            };
+        }
+        Extent {
+            backends: vec![100, 300, 1000, 3000, 10_000, 47_000],
+            tenants: vec![100, 300, 1000, 3000, 10_000, 30_000, 110_000],
+            classes: vec![10, 30, 100, 300, 1000, 3000, 22_000],
+            zones: vec![1, 2, 4, 12, 32],
+            change_rates: vec![3, 10, 30, 100, 300],
+            request_rates: vec![30, 100, 300, 1000, 2000],
+            few: [3000, 10_000, 1000],
+            rest: Duration::from_secs(4),
+            times: [30, 3, 400],
+        }
+    }
+}
+
+/// Measures the node.
+///
+/// # Errors
+/// The node does not do what is waited for, or the system fails.
+pub fn measure(m: &Measure) -> Result<Vec<Series>, MeasureError> {
+    measure_beside(m, None)
+}
+
+/// Measures the node and, by turns, another one, whose role is `node-before`.
+///
+/// # Errors
+/// As above, of either.
+pub fn measure_beside(m: &Measure, before: Option<&Path>) -> Result<Vec<Series>, MeasureError> {
+    let extent = Extent::of(m);
+    let end = Instant::now() + LONGEST;
+    let mut book = Book::default();
+    let mut sides = vec![("node", m.node.as_path())];
+    sides.extend(before.map(|path| ("node-before", path)));
+    let axes: [(&[usize], Axis); 6] = [
+        (&extent.backends, backends),
+        (&extent.tenants, tenants),
+        (&extent.classes, classes),
+        (&extent.zones, zones),
+        (&extent.change_rates, change_rates),
+        (&extent.request_rates, request_rates),
+    ];
+    for (sizes, axis) in axes {
+        for repetition in 0..m.repetitions.max(1) {
+            for size in sizes {
+                // Whoever goes first goes second the next time.
+                sides.reverse();
+                for (role, program) in &sides {
+                    if Instant::now() > end {
+                        return Err(MeasureError::Late(format!(
+                            "the node's part took over {} s",
+                            LONGEST.as_secs()
+                        )));
+                    }
+                    let seed = m.seed.wrapping_add(repetition as u64);
+                    let mut run = Run { role, program, seed, extent: &extent, book: &mut book };
+                    axis(&mut run, *size)?;
+                }
+            }
+        }
+    }
+    Ok(book.series())
+}
+
+type Axis = fn(&mut Run, usize) -> Result<(), MeasureError>;
+
+/// Names and units of a series, and its values by size.
+type Named = (String, &'static str, &'static str, &'static str);
+
+#[derive(Default)]
+struct Book {
+    /// In the order in which they were first measured.
+    order: Vec<Named>,
+    values: BTreeMap<Named, BTreeMap<usize, Vec<f64>>>,
+}
+
+impl Book {
+    fn series(self) -> Vec<Series> {
+        let Book { order, mut values } = self;
+        order
+            .into_iter()
+            .map(|name| {
+                let points = values.remove(&name).unwrap_or_default();
+                let points =
+                    points.into_iter().map(|(size, values)| Point { size: size as f64, values }).collect();
+                let (role, cost, unit, axis) = name;
+                Series { role, cost: cost.to_owned(), unit: unit.to_owned(), axis: axis.to_owned(), points }
+            })
+            .collect()
+    }
+}
+
+/// One size of one axis, once.
+struct Run<'a> {
+    role: &'a str,
+    program: &'a Path,
+    seed: u64,
+    extent: &'a Extent,
+    book: &'a mut Book,
+}
+
+impl Run<'_> {
+    fn note(
+        &mut self,
+        axis: &'static str,
+        size: usize,
+        cost: &'static str,
+        unit: &'static str,
+        value: f64,
+    ) {
+        let name = (self.role.to_owned(), cost, unit, axis);
+        if !self.book.values.contains_key(&name) {
+            self.book.order.push(name.clone());
+        }
+        self.book.values.entry(name).or_default().entry(size).or_default().push(value);
+    }
+
+    fn list(&self, count: usize, zones: usize, at: &[SocketAddr]) -> List {
+        List { seed: self.seed, count, zones, at: at.to_vec() }
+    }
+
+    fn start(&self, discovery: SocketAddr, change: impl FnOnce(&mut Value), topology: bool) -> Started {
+        Process::start(self.program, discovery, self.seed, change, topology)
+    }
+}
+
+type Started = Result<(Process, f64), MeasureError>;
+
+/// A list that is told: so many names, spread over zones and addresses.
+struct List {
+    seed: u64,
+    count: usize,
+    zones: usize,
+    at: Vec<SocketAddr>,
+}
+
+impl List {
+    fn entry(&self, n: usize, state: &str) -> String {
+        let at = self.at[n % self.at.len()];
+        format!(
+            "{{\"uid\":\"cs-{:04x}-{n:06}\",\"endpoint\":\"{at}\",\"az\":\"zone-{}\",\"model\":\"m\",\"pod_group\":{},\
+             \"state\":\"{state}\",\"capacity_hint\":1.0,\"boot_ms\":0}}",
+            self.seed & 0xffff,
+            n % self.zones,
+            n % 1700,
+        )
+    }
+
+    /// All but those of the first `lost` zones.
+    fn whole(&self, lost: usize) -> String {
+        let there = (0..self.count).filter(|n| n % self.zones >= lost);
+        there.map(|n| self.entry(n, "up")).collect::<Vec<String>>().join(",")
+    }
+}
+
+/// Processor time that a node uses at rest, in cores, over so long.
+fn at_rest(node: &Process, window: Duration) -> Result<f64, MeasureError> {
+    let (from, begun) = (node.cpu_ns()?, Instant::now());
+    sleep(window);
+    Ok((node.cpu_ns()? - from) as f64 / begun.elapsed().as_nanos() as f64)
+}
+
+/// Processor time of `work` in milliseconds, less what rest would have cost.
+fn cpu_of(
+    node: &Process,
+    rest: f64,
+    work: impl FnOnce() -> Result<(), MeasureError>,
+) -> Result<f64, MeasureError> {
+    sleep(SETTLED);
+    let (from, begun) = (node.cpu_ns()?, Instant::now());
+    work()?;
+    sleep(SETTLED);
+    let used = (node.cpu_ns()? - from) as f64 - rest * begun.elapsed().as_nanos() as f64;
+    Ok(used.max(0.0) / 1e6)
+}
+
+fn backends(run: &mut Run, size: usize) -> Result<(), MeasureError> {
+    dead_backends(run, size)?;
+    live_backends(run, size)
+}
+
+/// From its start with a list of dead backends: time, memory, rest, and a request that finds none.
+fn dead_backends(run: &mut Run, size: usize) -> Result<(), MeasureError> {
+    const AXIS: &str = "backends";
+    let dead = dead_port()?;
+    let discovery = Hollow::start(&run.list(size, ZONES, &[dead.address]).whole(0))?;
+    let (node, ready_ms) = run.start(discovery.address, |_| {}, false)?;
+    run.note(AXIS, size, "ready", "ms", ready_ms);
+    run.note(AXIS, size, "ready_cpu", "ms", node.cpu_ns()? as f64 / 1e6);
+    run.note(AXIS, size, "list_bytes", "bytes", discovery.written() as f64);
+    // The tick after the list has been, too.
+    sleep(run.extent.rest / 4);
+    run.note(AXIS, size, "memory_peak", "MB", node.memory_mb("VmHWM:")?);
+    run.note(AXIS, size, "memory_rest", "MB", node.memory_mb("VmRSS:")?);
+    let rest = at_rest(&node, run.extent.rest)?;
+    run.note(AXIS, size, "rest", "cores", rest);
+    let dead = request_cpu(run, &node, rest, &|n| format!("X-Object: o-{n}\r\n"))?;
+    run.note(AXIS, size, "request_dead", "us", dead);
+    Ok(())
+}
+
+/// From a list of one: whole lists, changes, and requests to live servers.
+fn live_backends(run: &mut Run, size: usize) -> Result<(), MeasureError> {
+    const AXIS: &str = "backends";
+    let servers = Servers::start(LIVE)?;
+    let list = run.list(size, ZONES, &servers.addresses);
+    let one = run.list(1, ZONES, &servers.addresses).whole(0);
+    let discovery = Hollow::start(&one)?;
+    let (node, _) = run.start(discovery.address, |_| {}, false)?;
+    let rest_of_one = at_rest(&node, run.extent.rest / 4)?;
+    let whole = |body: &str| discovery.tell_whole(body, PATIENCE);
+    let all = list.whole(0);
+
+    let first = cpu_of(&node, rest_of_one, || whole(&all))?;
+    run.note(AXIS, size, "list_first", "ms", first);
+    whole(&one)?;
+    let gaps = Gaps::watch(node.listen)?;
+    whole(&all)?;
+    run.note(AXIS, size, "gap_list_first", "ms", gaps.longest_ms());
+    let gaps = Gaps::watch(node.listen)?;
+    whole(&all)?;
+    run.note(AXIS, size, "gap_list_same", "ms", gaps.longest_ms());
+
+    let rest = at_rest(&node, run.extent.rest / 4)?;
+    let [changes, lists, _] = run.extent.times;
+    let mut same = Vec::new();
+    for _ in 0..lists {
+        same.push(cpu_of(&node, rest, || whole(&all))?);
+    }
+    run.note(AXIS, size, "list_same", "ms", super::fit::median(&same));
+    for (lost, gone, back) in
+        [(ZONES / 3, "list_third_lost", "list_third_back"), (1, "list_twelfth_lost", "list_twelfth_back")]
+    {
+        let less = list.whole(lost);
+        run.note(AXIS, size, gone, "ms", cpu_of(&node, rest, || whole(&less))?);
+        run.note(AXIS, size, back, "ms", cpu_of(&node, rest, || whole(&all))?);
+    }
+
+    let before = discovery.written();
+    let mut singles = Vec::new();
+    let mut draw = fastrand_of(run.seed);
+    for n in 0..changes {
+        let entry = list.entry(draw(size), if n % 2 == 0 { "draining" } else { "up" });
+        singles.push(cpu_of(&node, rest, || discovery.tell_changes(&[entry], PATIENCE))?);
+    }
+    run.note(AXIS, size, "change", "ms", super::fit::median(&singles));
+    run.note(AXIS, size, "change_bytes", "bytes", (discovery.written() - before) as f64 / changes as f64);
+    whole(&all)?;
+
+    let keyed = |n: usize| format!("X-Object: o-{}\r\n", n % KEYS);
+    let value = request_cpu(run, &node, rest, &keyed)?;
+    run.note(AXIS, size, "request_keyed", "us", value);
+    let value = request_cpu(run, &node, rest, &|_| String::new())?;
+    run.note(AXIS, size, "request_unkeyed", "us", value);
+    servers.answer(Answering::Full);
+    let value = request_cpu(run, &node, rest, &keyed)?;
+    run.note(AXIS, size, "request_blocked", "us", value);
+    Ok(())
+}
+
+/// Draws below a bound, from a seed.
+fn fastrand_of(seed: u64) -> impl FnMut(usize) -> usize {
+    let mut n = seed;
+    move |below| {
+        n = n.wrapping_add(1);
+        (crate::plan::mix(n) % below.max(1) as u64) as usize
+    }
+}
+
+/// Processor time of a request in microseconds, as the mean of many, one after the other.
+fn request_cpu(
+    run: &Run,
+    node: &Process,
+    rest: f64,
+    fields: &dyn Fn(usize) -> String,
+) -> Result<f64, MeasureError> {
+    let times = run.extent.times[2];
+    let mut client = Client::open(node.listen)?;
+    // Connections and first verdicts are not what is measured.
+    for n in 0..KEYS {
+        client.ask(&fields(n), PATIENCE)?;
+    }
+    let mut done = 0;
+    let ms = cpu_of(node, rest, || {
+        let begun = Instant::now();
+        while done < times && begun.elapsed() < ENOUGH {
+            client.ask(&fields(KEYS + done), PATIENCE)?;
+            done += 1;
+        }
+        Ok(())
+    })?;
+    Ok(ms * 1000.0 / done.max(1) as f64)
+}
+
+fn tenants(run: &mut Run, size: usize) -> Result<(), MeasureError> {
+    let entry = |n: usize, quota: f64| json!({"name": format!("tenant-{n:06}"), "quotaRps": quota});
+    let list = move |quota| (0..size).map(|n| entry(n, quota)).collect::<Vec<Value>>();
+    let last = format!("X-Object: o\r\nX-Customer: tenant-{:06}\r\n", size - 1);
+    settings_axis(run, "tenants", size, "tenants", &list, &last)
+}
+
+/// What routes map to where each is a class of its own: the dearest reading.
+fn classes(run: &mut Run, size: usize) -> Result<(), MeasureError> {
+    let list = move |worth: f64| {
+        let mut all = process::classes();
+        let own = |n: usize| {
+            json!({"name": format!("route-{n:06}"), "semantics": "idempotent", "objectiveMs": 400.0,
+                   "hardLimitMs": 1000.0, "value": worth})
+        };
+        all.extend((all.len()..size).map(own));
+        all
+    };
+    let last = format!("X-Object: o\r\nX-Qos: route-{:06}\r\n", size - 1);
+    settings_axis(run, "classes", size, "classes", &list, &last)
+}
+
+/// An axis that lies in the settings: a start with them, another of their kind by SIGHUP, a request that names the last.
+fn settings_axis(
+    run: &mut Run,
+    axis: &'static str,
+    size: usize,
+    key: &str,
+    list: &dyn Fn(f64) -> Vec<Value>,
+    last: &str,
+) -> Result<(), MeasureError> {
+    let servers = Servers::start(LIVE)?;
+    let discovery = Hollow::start(&run.list(LIVE, 1, &servers.addresses).whole(0))?;
+    let (mut node, ready_ms) =
+        run.start(discovery.address, |config| config["settings"][key] = list(1.0).into(), false)?;
+    run.note(axis, size, "ready", "ms", ready_ms);
+    sleep(run.extent.rest / 4);
+    run.note(axis, size, "memory_rest", "MB", node.memory_mb("VmRSS:")?);
+    let rest = at_rest(&node, run.extent.rest)?;
+    run.note(axis, size, "rest", "cores", rest);
+    let value = request_cpu(run, &node, rest, &|_| last.to_owned())?;
+    run.note(axis, size, "request_last", "us", value);
+    let gaps = Gaps::watch(node.listen)?;
+    let begun = Instant::now();
+    node.reconfigure(|config| config["settings"][key] = list(2.0).into(), PATIENCE)?;
+    run.note(axis, size, "reload", "ms", begun.elapsed().as_secs_f64() * 1000.0);
+    run.note(axis, size, "gap_reload", "ms", gaps.longest_ms());
+    run.note(axis, size, "memory_peak", "MB", node.memory_mb("VmHWM:")?);
+    Ok(())
+}
+
+/// Zones are judged as a whole here, which costs most.
+fn zones(run: &mut Run, size: usize) -> Result<(), MeasureError> {
+    const AXIS: &str = "zones";
+    let servers = Servers::start(LIVE)?;
+    let list = run.list(run.extent.few[0], size, &servers.addresses);
+    let all = list.whole(0);
+    let discovery = Hollow::start(&all)?;
+    let areas: Vec<String> = (0..size).map(|n| format!("zone-{n}")).collect();
+    let (node, _) =
+        run.start(discovery.address, |config| config["settings"]["areas"] = json!(areas), true)?;
+    sleep(run.extent.rest / 4);
+    let rest = at_rest(&node, run.extent.rest)?;
+    run.note(AXIS, size, "rest", "cores", rest);
+    let same = cpu_of(&node, rest, || discovery.tell_whole(&all, PATIENCE))?;
+    run.note(AXIS, size, "list_same", "ms", same);
+    let value = request_cpu(run, &node, rest, &|_| String::new())?;
+    run.note(AXIS, size, "request_unkeyed", "us", value);
+    Ok(())
+}
+
+fn change_rates(run: &mut Run, rate: usize) -> Result<(), MeasureError> {
+    let dead = dead_port()?;
+    let list = run.list(run.extent.few[1], ZONES, &[dead.address]);
+    let discovery = Hollow::start(&list.whole(0))?;
+    let (node, _) = run.start(discovery.address, |_| {}, false)?;
+    sleep(run.extent.rest / 4);
+    let mut draw = fastrand_of(run.seed);
+    let (from, calls, begun) = (node.cpu_ns()?, discovery.calls(), Instant::now());
+    let mut n = 0;
+    while begun.elapsed() < run.extent.rest {
+        discovery.put_changes(&[list.entry(draw(list.count), if n % 2 == 0 { "draining" } else { "up" })]);
+        n += 1;
+        sleep(
+            (begun + Duration::from_secs_f64(n as f64 / rate as f64))
+                .saturating_duration_since(Instant::now()),
+        );
+    }
+    let cores = (node.cpu_ns()? - from) as f64 / begun.elapsed().as_nanos() as f64;
+    run.note("changes_per_s", rate, "changes_cpu", "cores", cores);
+    let per_second = (discovery.calls() - calls) as f64 / begun.elapsed().as_secs_f64();
+    run.note("changes_per_s", rate, "changes_calls", "calls/s", per_second);
+    Ok(())
+}
+
+fn request_rates(run: &mut Run, rate: usize) -> Result<(), MeasureError> {
+    let servers = Servers::start(LIVE)?;
+    let discovery = Hollow::start(&run.list(run.extent.few[2], ZONES, &servers.addresses).whole(0))?;
+    let (node, _) = run.start(discovery.address, |_| {}, false)?;
+    sleep(run.extent.rest / 4);
+    let mut client = Client::open(node.listen)?;
+    let keyed = |n: usize| format!("X-Object: o-{}\r\n", n % KEYS);
+    for n in 0..KEYS {
+        client.ask(&keyed(n), PATIENCE)?;
+    }
+    let (from, begun) = (node.cpu_ns()?, Instant::now());
+    let mut n = 0;
+    while begun.elapsed() < run.extent.rest {
+        client.ask(&keyed(n), PATIENCE)?;
+        n += 1;
+        sleep(
+            (begun + Duration::from_secs_f64(n as f64 / rate as f64))
+                .saturating_duration_since(Instant::now()),
+        );
+    }
+    let elapsed = begun.elapsed();
+    let cores = (node.cpu_ns()? - from) as f64 / elapsed.as_nanos() as f64;
+    // Where one connection cannot keep up, the figure is scaled to what was due.
+    let kept = n as f64 / (elapsed.as_secs_f64() * rate as f64);
+    run.note("requests_per_s", rate, "requests_cpu", "cores", cores / kept.min(1.0));
+    Ok(())
+}
--- a/crates/lab/src/stats.rs
+++ b/crates/lab/src/stats.rs
@@ -9,6 +9,11 @@
     2.045, 2.042,
 ];
 
+/// Student's t at 97.5 % with so many degrees of freedom; infinite with none.
+pub fn students_t(freedom: usize) -> f64 {
+    if freedom == 0 { f64::INFINITY } else { T.get(freedom - 1).copied().unwrap_or(1.96) }
+}
+
 /// A mean with its interval.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Mean {
@@ -31,8 +36,7 @@
         return Mean { n, mean, half: f64::INFINITY };
     }
     let variance = figures.iter().map(|f| (f - mean).powi(2)).sum::<f64>() / (n - 1) as f64;
-    let t = T.get(n - 2).copied().unwrap_or(1.96);
-    Mean { n, mean, half: t * (variance / n as f64).sqrt() }
+    Mean { n, mean, half: students_t(n - 1) * (variance / n as f64).sqrt() }
 }
 
 /// The mean of what `b` has more than `a`, pair by pair: what moved both alike cancels.
