Test the shapes of the node's costs, and pass over reloads that take minutes

A reload at 110,000 tenants takes longer than 60 s of processor time on the present build: it grows with the square of the tenants. Where the smaller sizes foretell more than 45 s it is not played but fitted.

--- /dev/null
+++ b/crates/cli/tests/capacity.rs
@@ -0,0 +1,36 @@
+//! What `daleturn lab capacity` turns down, and how.
+
+use std::process::{Command, Output};
+
+fn capacity(args: &[&str]) -> Output {
+    let command = env!("CARGO_BIN_EXE_daleturn");
+    Command::new(command).args(["lab", "capacity"]).args(args).output().unwrap()
+}
+
+#[test]
+fn a_wrong_argument_is_named_with_exit_code_2_and_nothing_is_measured() {
+    let dir = std::env::temp_dir().join(format!("daleturn-cli-capacity-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let (out, file) = (dir.join("out"), dir.join("file"));
+    std::fs::write(&file, "").unwrap();
+    let [out, file] = [&out, &file].map(|p| p.to_str().unwrap());
+    let own = env!("CARGO_BIN_EXE_daleturn");
+    let cases: [(&[&str], &str); 7] = [
+        (&["--role", "baker", "--out", out], "--role baker: no such role; there are node"),
+        (&["--node", "/nowhere/node", "--out", out], "--node: /nowhere/node: not a file"),
+        (&["--node", own, "--baseline", "/nowhere/b", "--out", out], "--baseline: /nowhere/b: not a file"),
+        (&["--node", own, "--out", file], file),
+        (&["--node", own], "--out <DIR>"),
+        (&["--seed", "x", "--out", out], "--seed"),
+        (&["--repetitions", "0", "--out", out], "--repetitions"),
+    ];
+    for (args, named) in cases {
+        let done = capacity(args);
+        let said = String::from_utf8_lossy(&done.stderr).into_owned();
+        assert_eq!(done.status.code(), Some(2), "{args:?}: {said}");
+        assert!(said.contains(named), "{args:?}: {said}");
+        assert!(done.stdout.is_empty(), "{args:?}");
+    }
+    assert!(!dir.join("out").join("capacity.json").exists());
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/crates/lab/src/capacity/node.rs
+++ b/crates/lab/src/capacity/node.rs
@@ -21,6 +21,10 @@
 const LONGEST: Duration = Duration::from_secs(40 * 60);
 /// Nor does anything that a node is waited for.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// A reload that took longer than this is measured once.
+const LONG_RELOAD_MS: f64 = 10_000.0;
+/// One that will take longer, if it grows with the square of the size, is not measured at all.
+const LONGEST_RELOAD_MS: f64 = 45_000.0;
 /// Live servers behind all names of the list.
 const LIVE: usize = 8;
 /// Keys of keyed requests.
@@ -410,6 +414,16 @@
     run.note(axis, size, "rest", "cores", rest);
     let value = request_cpu(run, &node, rest, &|_| last.to_owned(), true)?;
     run.note(axis, size, "request_last", "us", value);
+    let name = (run.role.to_owned(), "reload", "ms", axis);
+    let known = run.book.values.get(&name).into_iter().flatten();
+    let expected = |(at, values): (&usize, &Vec<f64>)| {
+        super::fit::median(values) * (size as f64 / *at as f64).max(1.0).powi(2)
+    };
+    let expected = known.map(expected).fold(0.0, f64::max);
+    let again = run.book.values.get(&name).is_some_and(|sizes| sizes.contains_key(&size));
+    if expected > if again { LONG_RELOAD_MS } else { LONGEST_RELOAD_MS } {
+        return Ok(());
+    }
     let gaps = Gaps::watch(node.listen)?;
     let begun = Instant::now();
     node.reconfigure(|config| config["settings"][key] = list(2e5).into(), PATIENCE)?;
