--- a/crates/cli/src/capacity.rs
+++ b/crates/cli/src/capacity.rs
@@ -3,21 +3,24 @@
 use crate::lab::node;
 use crate::page::{Failure, print, table};
 use daleturn_lab::capacity::out::{HEADS, RESULT, report, rows, writable, write};
-use daleturn_lab::capacity::{Measure, PARTS, measure};
+use daleturn_lab::capacity::{Measure, PARTS, Wish, measure, node::AXES};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-pub const EXAMPLES: &str = "Writes capacity.json and a plot for each series into DIR. Exit codes: 0 measured, 1 a \
-                            measurement failed, 2 the command line is wrong.\n\n\
-                            Examples:\n  daleturn lab capacity --role node --out /tmp/capacity\n  daleturn lab \
-                            capacity --quick --out /tmp/shapes\n  daleturn lab capacity --role node --baseline \
-                            old/daleturn-node --out /tmp/beside";
+pub const EXAMPLES: &str = "Writes capacity.json and a plot for each series into DIR. Exit codes: 0 \
+                            measured, 1 a measurement failed, 2 the command line is wrong.\n\n\
+                            Examples:\n  daleturn lab capacity --role node --out /tmp/capacity\n  \
+                            daleturn lab capacity --quick --out /tmp/shapes\n  daleturn lab capacity --role \
+                            node --axis backends --baseline old/daleturn-node \\\n    --out /tmp/beside";
 
 #[derive(Debug, clap::Args)]
 pub struct Args {
     /// A role to measure; may be given again. Without it all are
     #[arg(long = "role", value_name = "ROLE")]
     roles: Vec<String>,
+    /// An axis of the node to measure; may be given again. Without it all are
+    #[arg(long = "axis", value_name = "AXIS")]
+    axes: Vec<String>,
     /// Few and small sizes, once each: for shapes alone
     #[arg(long)]
     quick: bool,
@@ -47,6 +50,9 @@
     if let Some(role) = args.roles.iter().find(|r| !known.contains(&r.as_str())) {
         return wrong(format!("--role {role}: no such role; there are {}", known.join(", ")));
     }
+    if let Some(axis) = args.axes.iter().find(|a| !AXES.contains(&a.as_str())) {
+        return wrong(format!("--axis {axis}: no such axis of the node; there are {}", AXES.join(", ")));
+    }
     let program = match node(args.node.as_deref()) {
         Ok(program) => program,
         Err(e) => return wrong(format!("--node: {e}")),
@@ -62,7 +68,8 @@
     let m =
         Measure { quick: args.quick, seed: args.seed, repetitions: repetitions as usize, node: program };
     let told = |roles: &[&str]| eprintln!("daleturn: measures {}", roles.join(", "));
-    let series = measure(&m, baseline.as_deref(), &args.roles, told).map_err(|e| e.to_string())?;
+    let wish = Wish { roles: args.roles.clone(), axes: args.axes.clone(), before: baseline };
+    let series = measure(&m, &wish, told).map_err(|e| e.to_string())?;
     let report = report(&m, series);
     write(&args.out, &report).map_err(|e| format!("--out {}: {e}", args.out.display()))?;
     print(&table(&HEADS, rows(&report)))?;
--- a/crates/cli/tests/capacity.rs
+++ b/crates/cli/tests/capacity.rs
@@ -15,8 +15,9 @@
     std::fs::write(&file, "").unwrap();
     let [out, file] = [&out, &file].map(|p| p.to_str().unwrap());
     let own = env!("CARGO_BIN_EXE_daleturn");
-    let cases: [(&[&str], &str); 7] = [
+    let cases: [(&[&str], &str); 8] = [
         (&["--role", "baker", "--out", out], "--role baker: no such role; there are node"),
+        (&["--axis", "moon", "--out", out], "--axis moon: no such axis of the node; there are backends, "),
         (&["--node", "/nowhere/node", "--out", out], "--node: /nowhere/node: not a file"),
         (&["--node", own, "--baseline", "/nowhere/b", "--out", out], "--baseline: /nowhere/b: not a file"),
         (&["--node", own, "--out", file], file),
--- a/crates/lab/src/capacity/fit.rs
+++ b/crates/lab/src/capacity/fit.rs
@@ -1,15 +1,17 @@
-//! Slopes: how a cost grows with a size, as a power, as a bent power and as a line, and what that says of a size that
-//! was not measured. It knows nothing of what is measured.
+//! Slopes: how a cost grows with a size, as a power, as a bent power and as a line, and what that says of
+//! a size that was not measured. It knows nothing of what is measured.
 //!
-//! Powers are fitted to the medians of each size in logarithms, so that every size counts alike. A cost with a part
-//! that does not grow, such as memory, is a line rather: that is weighted by the value, for the same reason.
+//! Powers are fitted to the medians of each size in logarithms, so that every size counts alike. A cost
+//! with a part that does not grow, such as memory, is a line rather: that is weighted by the value, for
+//! the same reason.
 
 use super::Series;
 use crate::stats::students_t;
 use serde::{Deserialize, Serialize};
 
-/// A bend is believed where two pieces leave so much less of the squares that it is by chance in one of 20 cases: F at
-/// 95 % for the two more figures that they have, by the degrees of freedom that are left them, from 1.
+/// A bend is believed where two pieces leave so much less of the squares that it is by chance in one of
+/// 20 cases: F at 95 % for the two more figures that they have, by the degrees of freedom that are left
+/// them, from 1.
 const F: [f64; 8] = [199.5, 19.0, 9.55, 6.94, 5.79, 5.14, 4.74, 4.46];
 /// And where the exponents differ by this much.
 const CLEARLY_BENT: f64 = 0.25;
@@ -211,8 +213,8 @@
     points.iter().map(|p| (p.0 - mean).powi(2)).sum()
 }
 
-/// Two pieces, where they are clearly better than the one. Each has to hold two sizes, and another at the knot or
-/// beyond it.
+/// Two pieces, where they are clearly better than the one. Each has to hold two sizes, and another at the
+/// knot or beyond it.
 fn bent(logs: &[(f64, f64)], one: &Pieces) -> Option<Pieces> {
     if logs.len() < 5 || (one.squares / logs.len() as f64).sqrt() < CLEARLY_OFF {
         return None;
--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -1,14 +1,14 @@
 //! What each role costs at size: series of one cost over several sizes, from which slopes are drawn.
 //!
-//! Each part measures one role and hands back [`Series`]; it writes no file and prints nothing. A part is bounded in
-//! time, processes and memory, and ends what it has started on every way out.
+//! Each part measures one role and hands back [`Series`]; it writes no file and prints nothing. A part is
+//! bounded in time, processes and memory, and ends what it has started on every way out.
 
 pub mod fit;
 pub mod node;
 pub mod out;
 
 use serde::{Deserialize, Serialize};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use thiserror::Error;
 
 /// How one run is to be measured.
@@ -68,14 +68,30 @@
 pub struct Part {
     /// The roles whose series it hands back.
     pub roles: &'static [&'static str],
-    /// Measures; the second is the program of a node to be measured beside, for parts that can.
-    pub measure: fn(&Measure, Option<&Path>) -> Result<Vec<Series>, MeasureError>,
+    /// Measures them.
+    pub measure: fn(&Measure, &Wish) -> Result<Vec<Series>, MeasureError>,
+}
+
+/// What of all is wanted.
+#[derive(Clone, Debug, Default)]
+pub struct Wish {
+    /// Roles; all where none is named.
+    pub roles: Vec<String>,
+    /// Axes of the node; all where none is named.
+    pub axes: Vec<String>,
+    /// The program of another node, which is measured by turns with the node as role `node-before`.
+    pub before: Option<PathBuf>,
 }
 
 /// All parts, in the order in which they are measured.
 pub const PARTS: &[Part] = &[
-    Part { roles: &["node"], measure: node::measure_beside },
-    // Further parts stand here, one line each.
+    Part {
+        roles: &["node"],
+        measure: |m, wish| node::measure_beside(m, wish.before.as_deref(), &wish.axes),
+    },
+    // Further parts stand here, one line each, such as:
+    // Part { roles: &["member", "hub"], measure: |m, _| members::measure(m) },
+    // Part { roles: &["discovery"], measure: |m, _| discovery::measure(m) },
 ];
 
 /// The size ahead on an axis: what the fleet is planned to be, for one node where the axis is of a node.
@@ -94,22 +110,21 @@
     })
 }
 
-/// Measures the named roles, or all; series of other roles that a part measures in passing are left out. `told` is told
-/// which part is measured.
+/// Measures what is wanted; series of other roles that a part measures in passing are left out. `told` is
+/// told which part is measured.
 ///
 /// # Errors
 /// The first part's that fails.
 pub fn measure(
     m: &Measure,
-    before: Option<&Path>,
-    roles: &[String],
+    wish: &Wish,
     mut told: impl FnMut(&'static [&'static str]),
 ) -> Result<Vec<Series>, MeasureError> {
-    let named = |role: &str| roles.is_empty() || roles.iter().any(|r| r == role);
+    let named = |role: &str| wish.roles.is_empty() || wish.roles.iter().any(|r| r == role);
     let mut all = Vec::new();
     for part in PARTS.iter().filter(|p| p.roles.iter().any(|r| named(r))) {
         told(part.roles);
-        let series = (part.measure)(m, before)?;
+        let series = (part.measure)(m, wish)?;
         all.extend(series.into_iter().filter(|s| named(s.role.trim_end_matches("-before"))));
     }
     Ok(all)
--- a/crates/lab/src/capacity/node.rs
+++ b/crates/lab/src/capacity/node.rs
@@ -1,8 +1,9 @@
-//! What one node costs at size: a real process before a hollow discovery, whose backends are dead, or many names of a
-//! few hollow servers.
+//! What one node costs at size: a real process before a hollow discovery, whose backends are dead, or
+//! many names of a few hollow servers.
 //!
-//! Processor time is the process's own, of all its threads, as the system counts it in nanoseconds. Each process runs
-//! under a shell that ends it, and removes its files, when this program ends in whatever way.
+//! Processor time is the process's own, of all its threads, as the system counts it in nanoseconds. Each
+//! process runs under a shell that ends it, and removes its files, when this program ends in whatever
+//! way.
 
 mod hollow;
 mod process;
@@ -29,8 +30,12 @@
 const LIVE: usize = 8;
 /// Keys of keyed requests.
 const KEYS: usize = 16;
-/// After what a node was asked to do, it is left this long to come to rest.
-const SETTLED: Duration = Duration::from_millis(3);
+/// Whether a node has come to rest is looked at so often.
+const LOOK: Duration = Duration::from_millis(5);
+/// At rest it uses less than this part of a core from one look to the next; while it is asked for words,
+/// less than the second.
+const AT_REST: f64 = 0.1;
+const BUT_FOR_WORDS: f64 = 0.6;
 /// Requests of one kind are not sent for longer.
 const ENOUGH: Duration = Duration::from_secs(4);
 /// Zones of the lists, but on the axis of zones.
@@ -86,14 +91,21 @@
 /// # Errors
 /// The node does not do what is waited for, or the system fails.
 pub fn measure(m: &Measure) -> Result<Vec<Series>, MeasureError> {
-    measure_beside(m, None)
+    measure_beside(m, None, &[])
 }
 
-/// Measures the node and, by turns, another one, whose role is `node-before`.
+/// The axes that can be measured.
+pub const AXES: [&str; 6] = ["backends", "tenants", "classes", "zones", "changes_per_s", "requests_per_s"];
+
+/// Measures the node on the named axes, or on all, and, by turns, another one, whose role is `node-before`.
 ///
 /// # Errors
 /// As above, of either.
-pub fn measure_beside(m: &Measure, before: Option<&Path>) -> Result<Vec<Series>, MeasureError> {
+pub fn measure_beside(
+    m: &Measure,
+    before: Option<&Path>,
+    named: &[String],
+) -> Result<Vec<Series>, MeasureError> {
     let extent = Extent::of(m);
     let end = Instant::now() + LONGEST;
     let mut book = Book::default();
@@ -107,7 +119,10 @@
         (&extent.change_rates, change_rates),
         (&extent.request_rates, request_rates),
     ];
-    for (sizes, axis) in axes {
+    for ((sizes, axis), name) in axes.into_iter().zip(AXES) {
+        if !named.is_empty() && !named.iter().any(|n| n == name) {
+            continue;
+        }
         for repetition in 0..m.repetitions.max(1) {
             for size in sizes {
                 // Whoever goes first goes second the next time.
@@ -205,7 +220,8 @@
     fn entry(&self, n: usize, state: &str) -> String {
         let at = self.at[n % self.at.len()];
         format!(
-            "{{\"uid\":\"cs-{:04x}-{n:06}\",\"endpoint\":\"{at}\",\"az\":\"zone-{}\",\"model\":\"m\",\"pod_group\":{},\
+            "{{\"uid\":\"cs-{:04x}-{n:06}\",\"endpoint\":\"{at}\",\"az\":\"zone-{}\",\"model\":\"m\",\
+             \"pod_group\":{},\
              \"state\":\"{state}\",\"capacity_hint\":1.0,\"boot_ms\":0}}",
             self.seed & 0xffff,
             n % self.zones,
@@ -220,6 +236,20 @@
     }
 }
 
+/// Waits until a node is done with what it was told: it may go on from a list before all of that is taken
+/// in. Two looks in a row have to find it at rest, or with no more to do than `part` of a core.
+fn settle(node: &Process, part: f64) -> Result<(), MeasureError> {
+    let end = Instant::now() + PATIENCE;
+    let mut quiet = 0;
+    while quiet < 2 {
+        if Instant::now() > end {
+            return Err(MeasureError::Late("the node does not come to rest".to_owned()));
+        }
+        quiet = if at_rest(node, LOOK)? < part { quiet + 1 } else { 0 };
+    }
+    Ok(())
+}
+
 /// Processor time that a node uses at rest, in cores, over so long.
 fn at_rest(node: &Process, window: Duration) -> Result<f64, MeasureError> {
     let (from, begun) = (node.cpu_ns()?, Instant::now());
@@ -233,10 +263,10 @@
     rest: f64,
     work: impl FnOnce() -> Result<(), MeasureError>,
 ) -> Result<f64, MeasureError> {
-    sleep(SETTLED);
+    settle(node, AT_REST)?;
     let (from, begun) = (node.cpu_ns()?, Instant::now());
     work()?;
-    sleep(SETTLED);
+    settle(node, AT_REST)?;
     let used = (node.cpu_ns()? - from) as f64 - rest * begun.elapsed().as_nanos() as f64;
     Ok(used.max(0.0) / 1e6)
 }
@@ -281,8 +311,10 @@
     let first = cpu_of(&node, rest_of_one, || whole(&all))?;
     run.note(AXIS, size, "list_first", "ms", first);
     whole(&one)?;
+    settle(&node, AT_REST)?;
     let gaps = Gaps::watch(node.listen)?;
     whole(&all)?;
+    settle(&node, BUT_FOR_WORDS)?;
     run.note(AXIS, size, "gap_list_first", "ms", gaps.longest_ms());
 
     let rest = at_rest(&node, run.extent.rest / 4)?;
@@ -292,6 +324,7 @@
         same.push(cpu_of(&node, rest, || whole(&all))?);
         let gaps = Gaps::watch(node.listen)?;
         whole(&all)?;
+        settle(&node, BUT_FOR_WORDS)?;
         gap.push(gaps.longest_ms());
     }
     run.note(AXIS, size, "list_same", "ms", super::fit::median(&same));
@@ -394,7 +427,8 @@
     settings_axis(run, "classes", size, "classes", &list, &last)
 }
 
-/// An axis that lies in the settings: a start with them, another of their kind by SIGHUP, a request that names the last.
+/// An axis that lies in the settings: a start with them, another of their kind by SIGHUP, a request that
+/// names the last.
 fn settings_axis(
     run: &mut Run,
     axis: &'static str,
--- a/crates/lab/src/capacity/node/hollow.rs
+++ b/crates/lab/src/capacity/node/hollow.rs
@@ -1,5 +1,6 @@
-//! The parties around a measured node: a discovery that tells what it is told to, servers that answer at once, a
-//! client, and a watch on how long the node answers nobody. They use as little of the machine as they can.
+//! The parties around a measured node: a discovery that tells what it is told to, servers that answer at
+//! once, a client, and a watch on how long the node answers nobody. They use as little of the machine as
+//! they can.
 
 use super::super::MeasureError;
 use std::io::{self, Read, Write};
--- a/crates/lab/src/capacity/node/process.rs
+++ b/crates/lab/src/capacity/node/process.rs
@@ -1,5 +1,5 @@
-//! One process of a node: started with files of its own, looked at from outside, and gone when it is dropped or when
-//! this program ends.
+//! One process of a node: started with files of its own, looked at from outside, and gone when it is
+//! dropped or when this program ends.
 
 use super::super::MeasureError;
 use super::hollow::Client;
@@ -14,8 +14,8 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// The shell ends the node and removes its files once nobody holds the shell's input any more: also where this program
-/// is killed.
+/// The shell ends the node and removes its files once nobody holds the shell's input any more: also where
+/// this program is killed.
 const KEEPER: &str = "trap : INT TERM HUP\nulimit -n 1024\n\"$0\" 2>\"$1/log\" >/dev/null &\np=$!\necho $p\n\
                       read -r _\nkill -9 $p\nwait $p\nrm -rf -- \"$1\"\n";
 /// A line of the log that tells of settings that were taken on SIGHUP.
@@ -40,10 +40,11 @@
 
 /// Classes of the settings, each with another effect.
 pub fn classes() -> Vec<Value> {
-    vec![
-        json!({"name": "page", "semantics": "idempotent", "objectiveMs": 400.0, "hardLimitMs": 1000.0, "value": 1.0}),
-        json!({"name": "pay", "semantics": "at_most_once", "objectiveMs": 400.0, "hardLimitMs": 1000.0, "value": 1.0}),
-    ]
+    let class = |(name, semantics)| {
+        json!({"name": name, "semantics": semantics, "objectiveMs": 400.0, "hardLimitMs": 1000.0,
+               "value": 1.0})
+    };
+    [("page", "idempotent"), ("pay", "at_most_once")].map(class).into()
 }
 
 fn settings() -> Value {
--- a/crates/lab/src/capacity/out.rs
+++ b/crates/lab/src/capacity/out.rs
@@ -1,7 +1,8 @@
-//! What a run hands on: one JSON file with every series and its fit, a plot for each, and rows for a terminal.
+//! What a run hands on: one JSON file with every series and its fit, a plot for each, and rows for a
+//! terminal.
 //!
-//! Each file is written under another name in the same folder and renamed, the JSON last: a run that is cut off leaves
-//! nothing that looks like a result.
+//! Each file is written under another name in the same folder and renamed, the JSON last: a run that is
+//! cut off leaves nothing that looks like a result.
 
 use super::fit::{Fit, Shape, fit, median};
 use super::{Measure, Series, ahead};
--- a/crates/lab/tests/capacity.rs
+++ b/crates/lab/tests/capacity.rs
@@ -1,8 +1,8 @@
-//! Shapes of what a node costs, from a real process and small sizes: counts, bytes, memory and exponents with much room.
-//! No verdict here depends on how long something took.
+//! Shapes of what a node costs, from a real process and small sizes: counts, bytes, memory and exponents
+//! with much room. No verdict here depends on how long something took.
 
 use daleturn_lab::capacity::out::{RESULT, Report, report, write};
-use daleturn_lab::capacity::{Measure, MeasureError, measure, node};
+use daleturn_lab::capacity::{Measure, MeasureError, Wish, measure, node};
 use daleturn_lab::real::beside;
 use std::path::{Path, PathBuf};
 
@@ -19,7 +19,8 @@
 #[test]
 fn what_a_node_costs_has_the_shapes_that_are_known() {
     let m = quick(built("daleturn-node"));
-    let told = report(&m, measure(&m, None, &["node".to_owned()], |_| {}).expect("measured"));
+    let wish = Wish { roles: vec!["node".to_owned()], ..Wish::default() };
+    let told = report(&m, measure(&m, &wish, |_| {}).expect("measured"));
     let of = |cost: &str, axis: &str| {
         let one = told.series.iter().find(|s| s.series.cost == cost && s.series.axis == axis);
         let one = one.unwrap_or_else(|| panic!("{cost} by {axis} is not measured"));
