--- a/crates/lab/src/capacity/node.rs
+++ b/crates/lab/src/capacity/node.rs
@@ -449,11 +449,9 @@
     let value = request_cpu(run, &node, rest, &|_| last.to_owned(), true)?;
     run.note(axis, size, "request_last", "us", value);
     let name = (run.role.to_owned(), "reload", "ms", axis);
-    let known = run.book.values.get(&name).into_iter().flatten();
-    let expected = |(at, values): (&usize, &Vec<f64>)| {
-        super::fit::median(values) * (size as f64 / *at as f64).max(1.0).powi(2)
-    };
-    let expected = known.map(expected).fold(0.0, f64::max);
+    let known = run.book.values.get(&name).and_then(|sizes| sizes.range(..=size).next_back());
+    let expected =
+        known.map_or(0.0, |(at, values)| super::fit::median(values) * (size as f64 / *at as f64).powi(2));
     let again = run.book.values.get(&name).is_some_and(|sizes| sizes.contains_key(&size));
     if expected > if again { LONG_RELOAD_MS } else { LONGEST_RELOAD_MS } {
         return Ok(());
