--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -6,6 +6,7 @@
 pub mod fit;
 pub mod node;
 pub mod out;
+pub mod page;
 
 pub mod discovery;
 pub mod members;
