--- a/crates/lab/src/capacity/fit.rs
+++ b/crates/lab/src/capacity/fit.rs
@@ -73,7 +73,7 @@
     pub value: f64,
     /// It was played and is no extrapolation.
     pub played: bool,
-    /// How far beyond the greatest size measured, as a factor; at most 1: within what was measured.
+    /// How far beyond the greatest size measured, as a factor; at most 1: not beyond it.
     pub beyond: f64,
 }
 
--- a/crates/lab/src/capacity/out.rs
+++ b/crates/lab/src/capacity/out.rs
@@ -194,6 +194,9 @@
     row.push(f.target.map_or_else(String::new, |t| {
         let how = match (t.played, f.nearest) {
             (true, _) => "played".to_owned(),
+            (false, shape) if t.size < f.sizes.0 => {
+                format!("{:.1} times below, {}", f.sizes.0 / t.size, word(shape))
+            }
             (false, shape) if t.beyond <= 1.0 => format!("within, {}", word(shape)),
             (false, shape) => format!("{:.1} times beyond, {}", t.beyond, word(shape)),
         };
