Keep what is known where a list is too long to read, and ask for it ever more seldom

Cause: a list past the limit was a failed call like any other, so its version was forgotten where lists are pushed, and the pause grew to 150 ms at most.

--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -230,9 +230,7 @@
         if told.skipped > 0 {
             // What that line had to tell is in the whole list, if anywhere; a service that never gets it right must
             // not be asked for that without end.
-            let pause = SPOILT_MS * f64::from(1_u32 << self.spoilt.min(12));
-            self.spoilt = self.spoilt.saturating_add(1);
-            self.whole_at = Some(now + self.draw(pause.min(LAST_SPOILT_MS)));
+            self.whole_at = Some(now + self.spoilt_pause());
         } else if told.all {
             (self.whole_at, self.spoilt) = (None, 0);
         }
@@ -246,6 +244,24 @@
         true
     }
 
+    /// A call was answered with more than can be read. What is known holds, its changes are asked for, and the whole list
+    /// is tried again ever more seldom: neither is a service to be asked for that without end.
+    pub fn overlong(&mut self, now: f64) {
+        (self.due, self.unheard, self.again_at) = (None, false, None);
+        let pause = self.spoilt_pause();
+        self.whole_at = Some(now + pause);
+        if self.version.is_none() {
+            self.pause_until = now + pause;
+        }
+    }
+
+    /// Time until the whole list is asked for once more, doubled from the first to the last.
+    fn spoilt_pause(&mut self) -> f64 {
+        let pause = SPOILT_MS * f64::from(1_u32 << self.spoilt.min(12));
+        self.spoilt = self.spoilt.saturating_add(1);
+        self.draw(pause.min(LAST_SPOILT_MS))
+    }
+
     /// A call failed, or its time is over. True: the decisions pace what follows, and have to be told.
     pub fn failed(&mut self, now: f64, call: &Call) -> bool {
         let heard = !std::mem::replace(&mut self.unheard, true);
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -11,6 +11,7 @@
 use daleturn::control::subset::{Catalog, Target, home};
 use daleturn::interface::{BackendId, Discovery, Entry, Health, ListKind};
 use daleturn::wire::{Names, stable_hash};
+use http_body_util::LengthLimitError;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use serde::Deserialize;
@@ -291,6 +292,12 @@
                         hand_on(&driver, kind, lines).await;
                     }
                 }
+                Err(e) if e.is::<TooLong>() => {
+                    conn = None;
+                    self.asking.overlong(now);
+                    driver.list_too_long();
+                    say!(ERROR, "discovery", limit = LIST_LIMIT, "discovery.list_too_long");
+                }
                 Err(e) => {
                     conn = None;
                     let paced = self.asking.failed(now, &call);
@@ -320,6 +327,11 @@
     }
 }
 
+/// An answer of more bytes than a list may have.
+#[derive(Debug, thiserror::Error)]
+#[error("longer than {LIST_LIMIT} bytes")]
+struct TooLong;
+
 /// What came of one step.
 enum Step {
     Wished(Option<bool>),
@@ -409,7 +421,9 @@
         Some(conn) => conn,
         None => Conn::open(at, descriptors.take().await).await?,
     };
-    let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| e.to_string())?;
+    let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| -> Box<dyn Error> {
+        if e.is::<LengthLimitError>() { TooLong.into() } else { e.to_string().into() }
+    })?;
     if answer.status() != StatusCode::OK {
         return Err(format!("status {}", answer.status()).into());
     }
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -335,6 +335,8 @@
     next: Cell<u64>,
     heard: Cell<bool>,
     version: Cell<Option<u64>>,
+    /// Lists that were too long to be read.
+    too_long: Cell<u64>,
     /// Where findings go that the fleet shares.
     share: RefCell<Option<Sharer>>,
 }
@@ -374,6 +376,7 @@
             next: Cell::new(0),
             heard: Cell::new(false),
             version: Cell::new(None),
+            too_long: Cell::new(0),
             share: RefCell::default(),
         })
     }
@@ -409,6 +412,11 @@
         self.version.set(version);
     }
 
+    /// A list was too long to be read.
+    pub fn list_too_long(&self) {
+        self.too_long.set(self.too_long.get() + 1);
+    }
+
     /// Times in the figures are kept for `window` from here on.
     pub fn retune_stats(&self, window: Duration) {
         self.core.borrow_mut().stats.retune(window);
@@ -485,7 +493,7 @@
         json["admission"] = json!({"level": look.level, "strain": look.strain, "pressure": look.pressure});
         let subset = core.subset.figures();
         json["list"] = json!({"version": self.version.get(), "backends": subset.listed, "up": subset.up,
-            "held": subset.held, "joined": subset.joined, "left_out": subset.left_out,
+            "held": subset.held, "joined": subset.joined, "left_out": subset.left_out, "too_long": self.too_long.get(),
             "held_by": core.balancer.settings().holders()});
         json["backends"] = backends.into();
         json["zones"] = zones.into();
--- a/tests/node_subset.rs
+++ b/tests/node_subset.rs
@@ -3,7 +3,7 @@
 mod node;
 
 use node::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -165,3 +165,33 @@
     assert_eq!(held(&node, "up").len(), LISTED);
     serves(&node, 20);
 }
+
+#[test]
+fn a_list_past_every_limit_is_told_and_loses_no_drain() {
+    let ((first, a), (second, b)) = (server(), server());
+    let list = |rev: u64, all: bool, targets: &[Value]| {
+        json!({"rev": rev, "all": all, "targets": targets}).to_string().into_bytes()
+    };
+    let calls = Record::default();
+    let discovery = backend(&calls, move |_, message| {
+        let both = [target("s-1", a, "up"), target("s-2", b, "up")];
+        if message.first_line.contains("after=1&") {
+            // What counts anew from here on is too long; a drain is among the changes.
+            return ok(&list(2, false, &[target("s-1", a, "draining")]));
+        }
+        if message.first_line.contains("after=2&") {
+            return ok(&[list(3, true, &both), vec![b' '; 33 << 20]].concat());
+        }
+        ok(&list(1, true, &both))
+    });
+    let node = Node::launch(discovery, |_| {}, "exec \"$0\"");
+    wait_for("it is told", || node.logged("discovery.list_too_long") > 0);
+    wait_for("it is counted", || stats(&node)["list"]["too_long"].as_u64() > Some(0));
+    let sent = first.count();
+    serves(&node, 20);
+    assert_eq!(
+        (first.count(), second.count() >= 20),
+        (sent, true),
+        "what is known holds, the drain among it"
+    );
+}
