Show the terms on clients, cold backends, descriptors and starts over sockets

Need: for each term that holds from now on, a test over loopback sockets with the real process.

Change: a client that left gets no further attempt; twenty processes with uneven traffic, three of them just started, keep one budget for a cold backend; idle clients that fill the descriptors leave discovery's return its call; nodes of a fleet of 300 that start at once serve beside a discovery that is down, silent or slow, and one that knows no list is ready soon after a first call that failed.

Breaks that passed, since another bound holds: no gate on cold tokens and each node the whole budget (the weights of cold ones hold), clients may have all descriptors.

--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -2,7 +2,7 @@
 mod node;
 
 use node::*;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::time::Duration;
 
 type Change = fn(&mut Value);
@@ -261,3 +261,34 @@
         assert!(log.contains(&node.file()), "nor is the file: {log}");
     }
 }
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_do_not_keep_discoverys_return_from_the_node() {
+    for mode in ["pushed", "on_request"] {
+        let record = Record::default();
+        let addresses = backends(4, &record, |_, _| ok(b"x"));
+        // Nothing listens there yet.
+        let away = free_address();
+        let node = Node::start(away, |c| {
+            c["limits"]["sockets"] = 64.into();
+            c["settings"]["membershipMode"] = mode.into();
+            c["settings"]["instances"] = 300.into();
+            // Older than what discovery will have.
+            c["known"] = json!({"rev": 0, "all": true, "targets": all_up(&addresses)});
+        });
+        let mut clients = Vec::new();
+        for n in 0..150 {
+            let mut client = Client::connect(node.address);
+            assert_eq!(client.ask(&request("bid", 900)).status(), 200, "client {n}");
+            clients.push(client);
+        }
+        // These rest without a word.
+        clients.extend((0..150).map(|_| Client::connect(node.address)));
+        assert!(node.descriptors() <= 64, "{} descriptors", node.descriptors());
+        let draining: Vec<_> =
+            addresses.iter().enumerate().map(|(n, a)| target(&format!("s-{n}"), *a, "draining")).collect();
+        Discovery::start_at(away, draining);
+        wait_for("the drain is known", || node.up() == 503);
+        assert!(node.descriptors() <= 64, "{} descriptors", node.descriptors());
+    }
+}
--- /dev/null
+++ b/tests/node_cold.rs
@@ -0,0 +1,88 @@
+//! The budget of a backend that has just started is kept by the fleet: by the sum of what all its processes send, however
+//! unevenly clients are spread over them, and also by those that have just started.
+mod node;
+
+use node::*;
+use serde_json::json;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+const NODES: usize = 20;
+/// The settings' window ...
+const FALL: Duration = Duration::from_millis(1500);
+/// ... and what they allow in it up to 5 s after the start, as a multiple of what a warm one gets.
+const SHARE: f64 = 2.0 * (0.02 + 0.98 * 5.0 / 200.0);
+
+/// When each backend got a request; the last one is cold.
+type Times = Arc<Vec<Mutex<Vec<Instant>>>>;
+
+/// Most that came to it within a window.
+fn most(times: &Mutex<Vec<Instant>>) -> f64 {
+    let times = times.lock().unwrap();
+    let within = |from: &Instant| times.iter().filter(|t| **t >= *from && **t < *from + FALL).count();
+    times.iter().map(within).max().unwrap_or(0) as f64
+}
+
+#[test]
+fn twenty_processes_with_uneven_traffic_keep_one_budget_for_a_cold_backend() {
+    let times: Times = Arc::new((0..5).map(|_| Mutex::default()).collect());
+    let addresses: Vec<_> = (0..5)
+        .map(|n| {
+            let times = times.clone();
+            backend(&Record::default(), move |_, _| {
+                times[n].lock().unwrap().push(Instant::now());
+                ok(b"x")
+            })
+        })
+        .collect();
+    let warm = all_up(&addresses[..4]);
+    let discovery = Discovery::start(warm.clone());
+    let start = |slot: usize| {
+        Node::start(discovery.address, |c| {
+            c["settings"]["instances"] = NODES.into();
+            c["settings"]["slotNo"] = slot.into();
+            let rules = &mut c["settings"]["rules"];
+            (rules["coldMs"], rules["startCapacity"]) = (200_000.into(), 0.02.into());
+            (rules["fallMultiple"], rules["fallMs"]) = (2.0.into(), (FALL.as_millis() as u64).into());
+            c["known"] = json!({"rev": 1, "all": true, "targets": warm.clone()});
+        })
+    };
+    let mut nodes: Vec<Node> = (0..NODES).map(start).collect();
+    // Half of the clients come to two of them, which send as fast as they are answered, the others seldom.
+    let played = |nodes: &[Node], lasts: Duration| {
+        let end = Instant::now() + lasts;
+        let clients: Vec<_> = nodes
+            .iter()
+            .enumerate()
+            .map(|(n, node)| {
+                let address = node.address;
+                thread::spawn(move || {
+                    let mut client = Client::connect(address);
+                    while Instant::now() < end {
+                        client.ask(&request("page", 4000));
+                        thread::sleep(Duration::from_millis(if n < 2 { 8 } else { 80 }));
+                    }
+                })
+            })
+            .collect();
+        clients.into_iter().for_each(|c| c.join().unwrap());
+    };
+    played(&nodes, Duration::from_millis(1500));
+    // Three have just started when it comes up.
+    for (slot, node) in nodes.iter_mut().enumerate().skip(NODES - 3) {
+        *node = start(slot);
+    }
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64;
+    let mut cold = target("s-4", addresses[4], "up");
+    cold["boot_ms"] = now.into();
+    discovery.set(warm.iter().cloned().chain([cold]).collect());
+    wait_for("it is known", || nodes.iter().all(|n| n.call("stats").contains("s-4")));
+    times.iter().for_each(|t| t.lock().unwrap().clear());
+    played(&nodes, Duration::from_millis(2000));
+    let busiest = times[..4].iter().map(most).fold(0.0, f64::max);
+    let came = most(&times[4]);
+    let allowed = SHARE * busiest;
+    assert!(busiest > 10.0, "hardly any request came: {busiest}");
+    assert!(came <= allowed + 2.0 * allowed.sqrt() + 2.0, "{came} came, {allowed} allowed, warm {busiest}");
+}
--- a/tests/node_endings.rs
+++ b/tests/node_endings.rs
@@ -296,3 +296,45 @@
     assert!(served > 40, "{served} of 80");
     wait_for("descriptors are free", || node.descriptors() <= before + 8);
 }
+
+#[test]
+fn a_client_that_left_gets_no_further_attempt() {
+    // Requests that were served before, which pay for a further attempt.
+    const WARM: usize = 30;
+    for class in ["page", "pay"] {
+        for leaves in [false, true] {
+            let record = Record::default();
+            let gone = Arc::new(AtomicBool::new(false));
+            let may_end = gone.clone();
+            let addresses = backends(3, &record, move |n, _| match n {
+                WARM => {
+                    wait_for("the client has left or stays", || may_end.load(SeqCst));
+                    Act::SayAndClose(Vec::new())
+                }
+                _ => ok(b"x"),
+            });
+            let discovery = Discovery::start(all_up(&addresses));
+            // What has been sent is not called off, so it ends after its client.
+            let node =
+                Node::start(discovery.address, |c| c["settings"]["limits"]["mayCancel"] = false.into());
+            let mut client = Client::connect(node.address);
+            for _ in 0..WARM {
+                assert_eq!(client.ask(&request(class, 4000)).status(), 200);
+            }
+            let before = node.descriptors();
+            assert!(client.send(&request(class, 4000)));
+            wait_for("the attempt is out", || record.count() == WARM + 1);
+            if leaves {
+                drop(client);
+                wait_for("the node has seen it leave", || node.descriptors() < before);
+                gone.store(true, SeqCst);
+                wait_for("the attempt is over", || node.call("stats").contains("\"open\":0"));
+                assert_eq!(record.count(), WARM + 1, "{class}: sent on for a client that has left");
+            } else {
+                gone.store(true, SeqCst);
+                assert_eq!(client.answer().expect("an answer").status(), 200, "{class}");
+                assert_eq!(record.count(), WARM + 2, "{class}: a client that stays gets another");
+            }
+        }
+    }
+}
--- a/tests/node_exits.rs
+++ b/tests/node_exits.rs
@@ -213,3 +213,64 @@
     thread::sleep(Duration::from_millis(20));
     assert_eq!(record.count(), 1, "sent on by a process that ends");
 }
+
+#[test]
+fn nodes_of_a_large_fleet_that_start_at_once_serve_whatever_discovery_does() {
+    let record = Record::default();
+    let addresses = backends(2, &record, |_, _| ok(b"x"));
+    let silent = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let slow = backend(&Record::default(), |_, _| {
+        let body = json!({"rev": 41, "all": false, "targets": []}).to_string();
+        Act::Parts(vec![(1500, reply("200 OK", "", body.as_bytes()))])
+    });
+    for (what, discovery) in
+        [("down", free_address()), ("silent", silent.local_addr().unwrap()), ("slow", slow)]
+    {
+        for mode in ["pushed", "on_request"] {
+            let nodes: Vec<Node> = (0..12)
+                .map(|n| {
+                    Node::launch(
+                        discovery,
+                        |c| {
+                            c["settings"]["membershipMode"] = mode.into();
+                            c["settings"]["instances"] = 300.into();
+                            c["settings"]["slotNo"] = (25 * n).into();
+                            c["known"] = json!({"rev": 41, "all": true, "targets": all_up(&addresses)});
+                        },
+                        "exec \"$0\"",
+                    )
+                })
+                .collect();
+            for node in &nodes {
+                wait_for(&format!("{what}, {mode}: ready"), || node.up() == 200);
+                assert_eq!(ask(node.address, &request("page", 900)).status(), 200, "{what}, {mode}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_node_of_a_large_fleet_that_knows_no_list_is_ready_once_discovery_is_back() {
+    for mode in ["pushed", "on_request"] {
+        let record = Record::default();
+        let addresses = backends(1, &record, |_, _| ok(b"x"));
+        let targets = all_up(&addresses);
+        // It is not back for the first call.
+        let discovery = backend(&Record::default(), move |n, _| match n {
+            0 => Act::SayAndClose(Vec::new()),
+            _ => {
+                let body = json!({"rev": 1, "all": true, "targets": targets}).to_string();
+                Act::Parts(vec![(20, reply("200 OK", "", body.as_bytes()))])
+            }
+        });
+        let node = Node::launch(
+            discovery,
+            |c| {
+                c["settings"]["membershipMode"] = mode.into();
+                c["settings"]["instances"] = 300.into();
+            },
+            "exec \"$0\"",
+        );
+        wait_for(&format!("{mode}: ready"), || node.up() == 200);
+    }
+}
