--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -235,7 +235,7 @@
                                 (Ok(Answer::Read(listing)), other)
                             }
                             () = tokio::time::sleep(span(call.limit_ms)) => {
-                                (Err("no answer in time".into()), None)
+                                (Err("deadline has elapsed".into()), None)
                             }
                         };
                         let overtaken = other.is_some();
