--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,9 @@
 #![allow(dead_code)]
 
 use daleturn::Balancer;
+use daleturn::control::subset::{Subset, Target};
 use daleturn::interface::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Time past the client's deadline in which an answer still counts, as the users' bench has it.
 const ANSWER_SLACK_MS: f64 = 20.0;
@@ -134,6 +135,9 @@
     /// Since when a backend drains, and the last send or outcome there if that is later.
     pub draining: BTreeMap<BackendId, f64>,
     pub trace: Vec<Action>,
+    /// Where the decisions hear of a part of the list alone: what draws it, and who is up of that part. The rules are
+    /// judged by the whole list.
+    pub subset: Option<(Subset, BTreeSet<BackendId>)>,
     next: u64,
 }
 
@@ -154,6 +158,7 @@
             released: BTreeMap::new(),
             draining: BTreeMap::new(),
             trace: Vec::new(),
+            subset: None,
             next: 0,
         };
         w.feed(Event::Start);
@@ -244,10 +249,30 @@
         for e in self.list.values().filter(|e| e.health != Health::Up) {
             self.draining.entry(e.backend).or_insert(now);
         }
+        let (kind, entries) = self.part(kind, entries);
         self.feed(Event::List { kind, entries });
         self.check_closed();
     }
 
+    /// What the decisions hear of it.
+    fn part(&mut self, kind: ListKind, entries: Vec<Entry>) -> (ListKind, Vec<Entry>) {
+        let Some((subset, held)) = &mut self.subset else { return (kind, entries) };
+        let line = |entry| Target { entry, address: None, uid: "".into() };
+        let news = subset.take(kind, entries.into_iter().map(line).collect());
+        if matches!(news.kind, ListKind::Full | ListKind::Saved) {
+            held.clear();
+        }
+        let entries: Vec<Entry> = news.lines.into_iter().map(|line| line.entry).collect();
+        for e in &entries {
+            if e.health == Health::Up {
+                held.insert(e.backend)
+            } else {
+                held.remove(&e.backend)
+            };
+        }
+        (news.kind, entries)
+    }
+
     /// Closing on drains: a release has followed the notice, and the last outcome, within the time.
     fn check_closed(&self) {
         let Some(within) = self.s.drain_close_ms else { return };
@@ -351,7 +376,8 @@
         for (id, asked) in &self.asked {
             for (n, sent) in asked.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
                 for at in [0.0, 150.3, 1200.7].map(|later| self.now + later) {
-                    let up = self.list[&sent.backend].health == Health::Up;
+                    let held = self.subset.as_ref().is_none_or(|(_, held)| held.contains(&sent.backend));
+                    let up = held && self.list[&sent.backend].health == Health::Up;
                     let goes = up
                         && asked.answer.is_none()
                         && at < asked.request.deadline_ms
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -2,9 +2,12 @@
 mod common;
 
 use common::{World, settings, up};
+use daleturn::control::subset::Subset;
 use daleturn::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -50,8 +53,10 @@
     ]
 }
 
-fn play(s: Settings, seed: u64, steps: &[Step]) -> Vec<Action> {
-    let mut w = World::with_backends(s, seed, 6);
+fn play(s: Settings, seed: u64, steps: &[Step], subset: Option<usize>) -> Vec<Action> {
+    let mut w = World::new(s.clone(), seed);
+    w.subset = subset.map(|size| (Subset::new(size, &s), BTreeSet::new()));
+    w.list(ListKind::Full, (1..=6).map(up).collect());
     for step in steps {
         w.last_looks();
         let open: Vec<RequestId> = w
@@ -145,9 +150,35 @@
                 drain_close_ms,
                 ..settings()
             };
-            let first = play(s.clone(), seed, &steps);
-            assert_eq!(first, play(s, seed, &steps));
+            let first = play(s.clone(), seed, &steps, None);
+            assert_eq!(first, play(s.clone(), seed, &steps, None));
+            // A list that fits a subset is played action for action as without one.
+            assert_eq!(first, play(s, seed, &steps, Some(100)));
             Ok(())
         })
         .expect("a sequence that breaks a rule");
 }
+
+/// Backends leave and come back into the subset while they are in use, tried, cold or probed, and others drain.
+#[test]
+fn the_rules_hold_where_a_node_works_with_a_subset() {
+    let input = (any::<u64>(), any::<[bool; 4]>(), 1_usize..6, proptest::collection::vec(step(), 1..120));
+    let actions = AtomicU64::new(0);
+    runner()
+        .run(&input, |(seed, [probes, copies, warm, late_shedding], size, steps)| {
+            let s = Settings {
+                probes,
+                second_copies: copies,
+                warm_keys: warm,
+                late_shedding,
+                slot: seed as u32 % 4200,
+                ..settings()
+            };
+            let first = play(s.clone(), seed, &steps, Some(size));
+            actions.fetch_add(first.len() as u64, Ordering::Relaxed);
+            assert_eq!(first, play(s, seed, &steps, Some(size)));
+            Ok(())
+        })
+        .expect("a sequence that breaks a rule");
+    assert!(actions.into_inner() > 1000, "hardly anything was done");
+}
