--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -176,7 +176,17 @@
             };
             let first = play(s.clone(), seed, &steps, Some(size));
             actions.fetch_add(first.len() as u64, Ordering::Relaxed);
-            assert_eq!(first, play(s, seed, &steps, Some(size)));
+            assert_eq!(first, play(s.clone(), seed, &steps, Some(size)));
+            // A backend bears from the nodes that hold it what it bears from a fleet of so many.
+            let part = Settings { instances: 4200, held_by: Some(29), ..s.clone() };
+            let small = Settings { instances: 29, ..s };
+            // Calls to discovery are all nodes' matter.
+            let asks = |a: &Action| matches!(a, Action::Timer { token: 2, .. } | Action::Watch(_));
+            let [part, small] = [part, small].map(|s| {
+                let actions = play(s, seed, &steps, Some(size)).into_iter();
+                actions.filter(|a| !asks(a)).collect::<Vec<_>>()
+            });
+            assert_eq!(part, small);
             Ok(())
         })
         .expect("a sequence that breaks a rule");
--- a/tests/subset.rs
+++ b/tests/subset.rs
@@ -158,14 +158,17 @@
     }
 }
 
-/// Nodes that hold each backend, and the load that each gets where every node divides the same among its subset.
+/// Nodes that hold each backend, and the load that each gets for its weight where every node divides the same among its
+/// subset.
 fn spread(
     nodes: u32,
     backends: u64,
     size: usize,
     home: impl Fn(u32) -> Option<u16>,
+    units: impl Fn(u64) -> f64,
 ) -> (Vec<usize>, Vec<f64>) {
-    let (mut subset, mut told) = drawn(size, &node(0, home(0)), (0..backends).map(up));
+    let weighed = |n| Target { entry: Entry { units: units(n), ..up(n).entry }, ..up(n) };
+    let (mut subset, mut told) = drawn(size, &node(0, home(0)), (0..backends).map(weighed));
     let mut held: BTreeMap<BackendId, (usize, f64)> =
         (0..backends).map(|n| (up(n).entry.backend, (0, 0.0))).collect();
     let mut slots: Vec<u32> = (0..nodes).collect();
@@ -175,7 +178,7 @@
         as_node(&mut subset, &mut told, &node(slot, home(slot)));
         // Traffic that does not cross: all of it goes to the own zone.
         let own = |e: &Entry| home(slot).is_none_or(|zone| zone == e.zone);
-        let near = told.0.values().filter(|e| own(e)).count() as f64;
+        let near: f64 = told.0.values().filter(|e| own(e)).map(|e| e.units).sum();
         for entry in told.0.values() {
             let held = held.get_mut(&entry.backend).unwrap();
             held.0 += 1;
@@ -202,8 +205,12 @@
         ("zone by zone", |slot| Some((slot / 88).min(11) as u16)),
         ("in turn", |slot| Some((slot % 12) as u16)),
     ];
-    for (name, home) in homes {
-        let (held, load) = spread(1050, 11_750, 320, home);
+    // One in twenty is ten times as large as the others.
+    let unequal: fn(u64) -> f64 = |n| if n.is_multiple_of(20) { 10.0 } else { 1.0 };
+    let equal: fn(u64) -> f64 = |_| 1.0;
+    let plays = homes.map(|(name, home)| (name, home, equal));
+    for (name, home, units) in plays.into_iter().chain([("unequal weights", homes[0].1, unequal)]) {
+        let (held, load) = spread(1050, 11_750, 320, home, units);
         let held: Vec<f64> = held.into_iter().map(|n| n as f64).collect();
         let (least, most, deviation) = shape(&held);
         println!(
