Take a long whole list that is known as known, without reading its lines again

The change: the lines' text is hashed; where it is that of the whole list that was taken last, and nothing has changed since, the answer counts as news without lines. A change, another list, a line that could not be read or new rules end that.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -41,9 +41,20 @@
 /// The lines of an answer.
 pub enum Lines {
     /// As they came.
-    Some(Vec<Target>),
-    /// A long whole list, put together.
-    Whole(Catalog),
+    Few(Vec<Target>),
+    /// A long whole list, put together, with its lines' digest.
+    Whole(Box<Catalog>, u64),
+    /// The long whole list that is known, line for line.
+    Same,
+}
+
+/// The long whole list that was taken last, if nothing has changed since.
+#[derive(Clone, Copy)]
+struct Seen {
+    digest: u64,
+    entries: usize,
+    /// The rules that it was read by.
+    taken: u32,
 }
 
 /// An answer of discovery, or the list that a node starts with.
@@ -86,7 +97,7 @@
             }
         });
         let targets: Vec<Target> = read.collect();
-        Listing { rev, all, entries: targets.len(), skipped, spoilt, lines: Lines::Some(targets) }
+        Listing { rev, all, entries: targets.len(), skipped, spoilt, lines: Lines::Few(targets) }
     }
 
     /// Logs lines that were skipped: one bad line must not hide the rest.
@@ -111,37 +122,51 @@
     format!("{line:.200}")
 }
 
-/// The same of a long text: no tree of the whole is made, and a whole list is put together.
-fn long_listing(text: &[u8], names: &Names, home: Option<u16>) -> Result<Listing, serde_json::Error> {
+/// The same of a long text: no tree of the whole is made, a whole list is put together, and one that is known is not
+/// read again.
+fn long_listing(
+    text: &[u8],
+    names: &Names,
+    home: Option<u16>,
+    seen: Option<Seen>,
+) -> Result<Listing, serde_json::Error> {
     #[derive(Deserialize)]
     struct Form<'a> {
         rev: u64,
         #[serde(default)]
         all: Value,
         #[serde(borrow)]
-        targets: Vec<&'a RawValue>,
+        targets: &'a RawValue,
     }
     let Form { rev, all, targets } = serde_json::from_slice(text)?;
+    let all = all.as_bool().unwrap_or(false);
+    let digest = stable_hash(targets.get());
+    if let Some(seen) = seen.filter(|seen| all && seen.digest == digest) {
+        let (entries, skipped, spoilt) = (seen.entries, 0, Vec::new());
+        return Ok(Listing { rev, all, entries, skipped, spoilt, lines: Lines::Same });
+    }
+    let targets: Vec<&RawValue> = serde_json::from_str(targets.get())?;
     let read = targets.iter().map(|line| {
         let json: Value = serde_json::from_str(line.get()).map_err(|_| ("line", excerpt(line.get())))?;
         target(&json, names).map_err(|field| (field, excerpt(line.get())))
     });
-    let mut listing = Listing::of(rev, all.as_bool().unwrap_or(false), read);
-    if let (true, Lines::Some(lines)) = (listing.all && listing.entries > MANY, &mut listing.lines) {
-        listing.lines = Lines::Whole(Catalog::of(std::mem::take(lines), home));
+    let mut listing = Listing::of(rev, all, read);
+    if let (true, Lines::Few(lines)) = (listing.all && listing.entries > MANY, &mut listing.lines) {
+        listing.lines = Lines::Whole(Box::new(Catalog::of(std::mem::take(lines), home)), digest);
     }
     Ok(listing)
 }
 
 /// Reads an answer; a long one beside the loop.
-async fn read(text: Bytes, rules: &Current) -> Result<Listing, Box<dyn Error>> {
+async fn read(text: Bytes, rules: &Current, seen: Option<Seen>) -> Result<Listing, Box<dyn Error>> {
     let rules = rules.get();
     if text.len() <= LONG {
         let json = serde_json::from_slice(&text)?;
         return Ok(listing(&json, &rules.names).ok_or("not a list")?);
     }
     let (names, home) = (rules.names.of_zones(), home(&rules.settings));
-    Ok(tokio::task::spawn_blocking(move || long_listing(&text, &names, home)).await??)
+    let seen = seen.filter(|seen| seen.taken == rules.taken);
+    Ok(tokio::task::spawn_blocking(move || long_listing(&text, &names, home, seen)).await??)
 }
 
 fn target(line: &Value, names: &Names) -> Result<Target, &'static str> {
@@ -210,6 +235,7 @@
         let (mut at, _) = *address.borrow_and_update();
         let mut conn = None;
         let mut failures = Failures::default();
+        let mut seen: Option<Seen> = None;
         loop {
             while let Ok(wish) = self.wishes.try_recv() {
                 self.asking.wish(wish);
@@ -231,7 +257,7 @@
                         let (answer, other) = tokio::select! {
                             biased;
                             text = exchange(at, &call, descriptors, &mut conn) => (text.map(Answer::Text), None),
-                            (listing, other) = try_beside(at, &call, rules, descriptors, &tries) => {
+                            (listing, other) = try_beside(at, &call, rules, descriptors, &tries, seen) => {
                                 (Ok(Answer::Read(listing)), other)
                             }
                             () = tokio::time::sleep(span(call.limit_ms)) => {
@@ -242,7 +268,7 @@
                         conn = other.or(conn.take());
                         // What it takes to read a long answer is no lateness of discovery's.
                         let answer = match answer {
-                            Ok(Answer::Text(text)) => read(text, rules).await,
+                            Ok(Answer::Text(text)) => read(text, rules, seen).await,
                             Ok(Answer::Read(listing)) => Ok(listing),
                             Err(e) => Err(e),
                         };
@@ -288,6 +314,16 @@
                     // No change is news too where discovery is asked: the call did not fail.
                     if self.asking.answered(now, &call, Told { version, all, skipped }) {
                         driver.list_version(self.asking.version());
+                        let taken = self.rules.get().taken;
+                        seen = match lines {
+                            Lines::Whole(_, digest) if skipped == 0 => {
+                                Some(Seen { digest, entries, taken })
+                            }
+                            Lines::Same => seen,
+                            // An answer without news leaves the list as it is.
+                            Lines::Few(_) if entries == 0 && !all => seen,
+                            _ => None,
+                        };
                         let kind = if all { ListKind::Full } else { ListKind::Changes };
                         hand_on(&driver, kind, lines).await;
                     }
@@ -315,8 +351,9 @@
 /// Hands on what an answer holds; many changes in slices.
 pub async fn hand_on(driver: &Rc<Driver>, kind: ListKind, lines: Lines) {
     match lines {
-        Lines::Whole(catalog) => driver.take(Input::Whole(kind, catalog)),
-        Lines::Some(mut lines) => {
+        Lines::Whole(catalog, _) => driver.take(Input::Whole(kind, *catalog)),
+        Lines::Same => driver.take(Input::List(ListKind::Changes, Vec::new())),
+        Lines::Few(mut lines) => {
             while kind == ListKind::Changes && lines.len() > SLICE {
                 let rest = lines.split_off(SLICE);
                 driver.take(Input::List(kind, std::mem::replace(&mut lines, rest)));
@@ -387,6 +424,7 @@
     rules: &Current,
     descriptors: &Rc<Descriptors>,
     failed: &Cell<u32>,
+    seen: Option<Seen>,
 ) -> (Listing, Option<Conn>) {
     let Some(try_ms) = call.try_ms else { return std::future::pending().await };
     // The call itself is the first try.
@@ -397,7 +435,7 @@
         let mut conn = None;
         let answer = exchange(at, call, descriptors, &mut conn);
         if let Ok(Ok(text)) = tokio::time::timeout(span(try_ms), answer).await
-            && let Ok(listing) = read(text, rules).await
+            && let Ok(listing) = read(text, rules, seen).await
         {
             return (listing, conn);
         }
--- a/tests/node_subset.rs
+++ b/tests/node_subset.rs
@@ -195,3 +195,41 @@
         "what is known holds, the drain among it"
     );
 }
+
+#[test]
+fn a_whole_list_that_is_known_is_taken_as_such_unless_something_changed_since() {
+    let ((_, a), (second, b)) = (server(), server());
+    // All drain but one, which drains in turn.
+    let whole = move |one: &'static str| {
+        named(
+            move |uid| {
+                if uid == "s-7" { (a, one) } else { (b, if one == "up" { "draining" } else { "up" }) }
+            },
+        )
+    };
+    for (last, state) in [(2, "up"), (3, "draining"), (4, "up"), (5, "draining"), (6, "up")] {
+        let discovery = backend(&Record::default(), move |_, message| {
+            let list = |rev: u64, all: bool, targets: &[Value]| {
+                ok(json!({"rev": rev, "all": all, "targets": targets}).to_string().as_bytes())
+            };
+            let after =
+                message.first_line.split("after=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
+            match after.unwrap_or(0_u64) {
+                after if after >= last => Act::Silent,
+                // The same thrice, with a change in between; then another, and the first one again.
+                2 => list(3, false, &[target("s-7", a, "draining")]),
+                4 => list(5, true, &whole("draining")),
+                after => list(after + 1, true, &whole("up")),
+            }
+        });
+        let node = Node::launch(discovery, |_| {}, "exec \"$0\"");
+        wait_for("/up is 200", || node.up() == 200);
+        wait_for("the list is known", || stats(&node)["list"]["version"] == last);
+        assert!(held(&node, state).contains("s-7"), "version {last}: {state}");
+        if state == "up" {
+            let sent = second.count();
+            serves(&node, 5);
+            assert_eq!(second.count(), sent, "version {last}");
+        }
+    }
+}
