Want each row that is over its budget now among what is missing

The test holds the node's rows of the present build to the list of what is missing, as those of the build before to the choice.

--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -29,11 +29,13 @@
     {
         assert!(rows.iter().any(|r| r.section.contains(name)), "no row of {name}");
     }
-    // No row that is over its budget on the build before is left out of the choice.
-    let compared: Vec<_> = rows.iter().filter(|r| r.section == RANKED[0]).map(|r| r.over).collect();
-    for row in rows.iter().filter(|r| r.section.starts_with("Node serving") && !r.what.ends_with(", now")) {
-        let there = row.over.is_none_or(|o| o <= 1.0) || compared.contains(&row.over);
-        assert!(there, "{} is not compared", row.what);
+    // No row that is over its budget is left out: the build before is compared, of the present one it is missing.
+    let of =
+        |section: &str| rows.iter().filter(|r| r.section == section).map(|r| r.over).collect::<Vec<_>>();
+    let (compared, missing) = (of(RANKED[0]), of(RANKED[1]));
+    for row in rows.iter().filter(|r| r.section.starts_with("Node serving")) {
+        let there = if row.what.ends_with(", now") { &missing } else { &compared };
+        assert!(row.over.is_none_or(|o| o <= 1.0) || there.contains(&row.over), "{} is left out", row.what);
     }
     // The order of what is missing is that of need over budget.
     for section in RANKED {
