--- a/crates/lab/tests/capacity_page.rs
+++ b/crates/lab/tests/capacity_page.rs
@@ -1,7 +1,7 @@
 //! The page on capacity says what its records say: each row's need, verdict and slope, and each figure of the
 //! text, is computed anew from them.
 
-use daleturn_lab::capacity::page::{Records, records, written};
+use daleturn_lab::capacity::page::{RECORDS, Records, records, written};
 use daleturn_lab::capacity::{Point, Series};
 use std::path::{Path, PathBuf};
 
@@ -16,6 +16,7 @@
     let path = docs().join("CAPACITY.md");
     let page = std::fs::read_to_string(&path).expect("readable");
     let recorded = records(&docs().join("capacity")).expect("readable");
+    assert_eq!(recorded.len(), RECORDS.len(), "a record is not there");
     let (anew, rows) = written(&page, &recorded).unwrap_or_else(|wrong| panic!("{}", wrong.join("\n")));
     if std::env::var_os("DALETURN_PAGE").is_some_and(|v| v == "write") {
         std::fs::write(&path, &anew).expect("writable");
