--- a/tests/node_cold.rs
+++ b/tests/node_cold.rs
@@ -24,8 +24,18 @@
     times.iter().map(within).max().unwrap_or(0) as f64
 }
 
-#[test]
-fn twenty_processes_with_uneven_traffic_keep_one_budget_for_a_cold_backend() {
+/// What happens as a backend comes up cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Beside {
+    /// Three of the nodes have just been started again.
+    Starts,
+    /// It was there before, warm, and is back under a burst of three times as many requests.
+    Burst,
+    /// Six of the nodes are upgraded: two processes each, of which the older ends its work.
+    Upgrades,
+}
+
+fn one_budget(beside: Beside) {
     let times: Times = Arc::new((0..5).map(|_| Mutex::default()).collect());
     let addresses: Vec<_> = (0..5)
         .map(|n| {
@@ -36,53 +46,89 @@
             })
         })
         .collect();
-    let warm = all_up(&addresses[..4]);
-    let discovery = Discovery::start(warm.clone());
+    let all = all_up(&addresses);
+    let warm = all[..4].to_vec();
+    let first = if beside == Beside::Burst { all.clone() } else { warm.clone() };
+    let discovery = Discovery::start(first.clone());
+    let place = |slot: usize| scratch(&format!("cold-{beside:?}-{slot}")).display().to_string();
     let start = |slot: usize| {
-        Node::start(discovery.address, |c| {
+        let change = |c: &mut serde_json::Value| {
             c["settings"]["instances"] = NODES.into();
             c["settings"]["slotNo"] = slot.into();
             let rules = &mut c["settings"]["rules"];
             (rules["coldMs"], rules["startCapacity"]) = (200_000.into(), 0.02.into());
             (rules["fallMultiple"], rules["fallMs"]) = (2.0.into(), (FALL.as_millis() as u64).into());
-            c["known"] = json!({"rev": 1, "all": true, "targets": warm.clone()});
-        })
+            c["known"] = json!({"rev": 1, "all": true, "targets": first.clone()});
+        };
+        let node =
+            Node::launch(discovery.address, change, &format!("TMPDIR='{}' exec \"$0\"", place(slot)));
+        wait_for("/up is 200", || node.up() == 200);
+        node
     };
     let mut nodes: Vec<Node> = (0..NODES).map(start).collect();
     // Half of the clients come to two of them, which send as fast as they are answered, the others seldom.
-    let played = |nodes: &[Node], lasts: Duration| {
+    let played = |nodes: &[Node], lasts: Duration, each: u64| {
         let end = Instant::now() + lasts;
-        let clients: Vec<_> = nodes
-            .iter()
-            .enumerate()
+        let clients: Vec<_> = (nodes.iter().enumerate())
             .map(|(n, node)| {
                 let address = node.address;
                 thread::spawn(move || {
                     let mut client = Client::connect(address);
                     while Instant::now() < end {
                         client.ask(&request("page", 4000));
-                        thread::sleep(Duration::from_millis(if n < 2 { 8 } else { 80 }));
+                        thread::sleep(Duration::from_millis(if n < 2 { 8 } else { 80 } / each));
                     }
                 })
             })
             .collect();
         clients.into_iter().for_each(|c| c.join().unwrap());
     };
-    played(&nodes, Duration::from_millis(1500));
-    // Three have just started when it comes up.
-    for (slot, node) in nodes.iter_mut().enumerate().skip(NODES - 3) {
-        *node = start(slot);
+    played(&nodes, Duration::from_millis(1500), 1);
+    let mut older = Vec::new();
+    match beside {
+        Beside::Starts => {
+            for (slot, node) in nodes.iter_mut().enumerate().skip(NODES - 3) {
+                *node = start(slot);
+            }
+        }
+        Beside::Burst => {
+            discovery.set(warm.clone());
+            wait_for("it is gone", || nodes.iter().all(|n| !n.call("stats").contains("\"s-4\"")));
+        }
+        Beside::Upgrades => {
+            for (slot, node) in nodes.iter_mut().enumerate().take(6) {
+                let next = node.beside(&format!("TMPDIR='{}' exec \"$0\"", place(slot)));
+                wait_for("it serves", || next.call_if_there("health").is_some_and(|a| a.starts_with("OK")));
+                older.push(std::mem::replace(node, next));
+            }
+        }
     }
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap().as_millis() as u64;
     let mut cold = target("s-4", addresses[4], "up");
     cold["boot_ms"] = now.into();
     discovery.set(warm.iter().cloned().chain([cold]).collect());
-    wait_for("it is known", || nodes.iter().all(|n| n.call("stats").contains("s-4")));
+    wait_for("it is known", || nodes.iter().all(|n| n.call("stats").contains("\"s-4\"")));
     times.iter().for_each(|t| t.lock().unwrap().clear());
-    played(&nodes, Duration::from_millis(2000));
+    played(&nodes, Duration::from_millis(2000), if beside == Beside::Burst { 3 } else { 1 });
     let busiest = times[..4].iter().map(most).fold(0.0, f64::max);
     let came = most(&times[4]);
     let allowed = SHARE * busiest;
+    println!("{beside:?}: {came} came, {allowed} allowed, warm {busiest}");
     assert!(busiest > 10.0, "hardly any request came: {busiest}");
     assert!(came <= allowed + 2.0 * allowed.sqrt() + 2.0, "{came} came, {allowed} allowed, warm {busiest}");
 }
+
+#[test]
+fn twenty_processes_with_uneven_traffic_keep_one_budget_for_a_cold_backend() {
+    one_budget(Beside::Starts);
+}
+
+#[test]
+fn a_backend_back_cold_under_a_burst_gets_one_budget_of_twenty_processes() {
+    one_budget(Beside::Burst);
+}
+
+#[test]
+fn nodes_that_are_upgraded_keep_one_budget_for_a_cold_backend() {
+    one_budget(Beside::Upgrades);
+}
