--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -1,5 +1,5 @@
 //! Which backends of a long list this node works with: deterministic subsetting. The whole list is kept here, small and
-//! in the order of a ring for each zone; what the decisions hear of is a subset of bounded size, told by ordinary list
+//! in the order of a ring; what the decisions hear of is a subset of bounded size, told by ordinary list
 //! events, so that what a request, a tick or a change costs does not grow with the fleet. It knows no request.
 //!
 //! A list of at most so many lines is handed on as it came. Of a longer one each node takes the next backends that are
