Show by failing tests that a departure is lost with the call it was written to

Symptom: requests go to a draining backend after its grace, while configurations follow each other and discovery is slow.

To blame: src/node/discovery.rs, Watch::run, the arms for a new address and for the call's time-out drop the exchange; src/control/asking.rs, Asking::moved, which forgets an earlier moment.

--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -136,6 +136,39 @@
         prop_assert!(second.ask == Ask::Whole && now + WAY_MS < told, "{second:?} at {now}");
     }
 
+    /// The 4 s of the first move are not started anew by those that follow: what it had to bring is still owed then.
+    #[test]
+    fn further_moves_put_off_no_moment_at_which_news_counts_as_told(
+        seed: u64, pushed: bool, must_ask in 500.0..60_000.0_f64, gaps in proptest::collection::vec(100.0..1100.0_f64, 1..4),
+    ) {
+        let how = WAYS[usize::from(!pushed)];
+        let mut asking = Asking::new(how, must_ask, Some(7), seed);
+        let mut now = 1000.0_f64;
+        let first_told = now + 4000.0;
+        asking.moved(now, how);
+        for gap in gaps {
+            // The call that is out hangs until the next move ends it.
+            call(&mut asking, &mut now.clone());
+            now += gap;
+            asking.moved(now, how);
+        }
+        // From here on every call hangs.
+        let last_told = now + 4000.0;
+        let mut begun = Vec::new();
+        while now < last_told {
+            let next = call(&mut asking, &mut now);
+            prop_assert_eq!(next.ask, Ask::Whole);
+            begun.push(now);
+            now += next.limit_ms;
+            asking.failed(now, &next);
+        }
+        let in_time = |told: f64| begun.iter().filter(|at| *at + WAY_MS < told).count();
+        prop_assert!(in_time(first_told) >= 2, "{begun:?}, told at {first_told}");
+        // Nor is the last move's forgotten over the first one's.
+        prop_assert!(last_told - first_told < 1000.0 || in_time(last_told) > in_time(first_told),
+            "{begun:?}, told at {first_told} and {last_told}");
+    }
+
     /// Whole lists, changes, lines that cannot be read, resets and versions that count anew, in any order: once the
     /// service is well, the list here is its list.
     #[test]
