Read the answer of a replaced call to discovery, and take its departures

Symptom: requests go to a draining backend after its grace, while configurations follow each other and discovery is slow (tests/node_late_lists.rs, tests/asking.rs, committed failing before).

Cause, one class: what replaces a call to discovery threw its answer away, though it was written, and so counted as notified. SIGHUP dropped the exchange in Watch::run, so did the call's time-out, and Asking::moved forgot an earlier moment at which news counts as notified.

Change: calls are tasks of their own (src/node/discovery_calls.rs). A replaced one is read for 2 s more, three at most. Asking::answered_late says what of a late answer holds: all of it if nothing newer is known at the same address, else its departures, which stay out until an answer to a later call says otherwise (src/control/departures.rs). Departures of an answer that counts versions anew are taken as well. A further move keeps the earlier moment beside its own. The reading of lists has its own module (listing.rs). New: discovery.moved, discovery.late, list.late in stats.

Ruled out: the wall clock.

A property plays answers in any order over moves; of five deliberate defects in the new code it found four, and the fifth showed a field to be of no use, which is gone.

--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -9,6 +9,10 @@
 //! has at its return counts at once, so short tries on a connection of their own run beside each call, which may hang
 //! across that moment. Where it is asked, each call costs the one service of all nodes, and rounds of a length that
 //! leaves time for one failure do.
+//!
+//! A call that is replaced, by a time-out or by a new address, may have been answered already: the answer is under way, and
+//! from the moment in which it was written its departures count as notified. So its answer is still read for a while, and
+//! [`Asking::answered_late`] says what of it holds.
 
 use crate::interface::Discovery;
 
@@ -50,6 +54,9 @@
 /// Pauses between whole lists while some line cannot be read: doubled from the first to the last.
 const SPOILT_MS: f64 = 100.0;
 const LAST_SPOILT_MS: f64 = 20_000.0;
+/// So long the answer of a call is still read that was given up or replaced. After a move the first call gets half of
+/// [`MOVED_MS`], so that its answer counts up to the moment from which its news is notified anyway.
+pub const LATE_ANSWER_MS: f64 = 2000.0;
 /// A watch that brought no news sooner than this has not waited.
 const HASTY_MS: f64 = 50.0;
 
@@ -78,9 +85,19 @@
     /// what is answered first counts.
     pub try_ms: Option<f64>,
     begun: f64,
+    number: u64,
+    /// Which address it is made to, counted from the first.
+    epoch: u32,
+    /// The newest call that had been answered as it was made.
+    answered_before: Option<u64>,
 }
 
 impl Call {
+    /// Its place in the order of all calls.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Whole milliseconds since it was made.
     pub fn after_ms(&self, now: f64) -> u64 {
         (now - self.begun).max(0.0) as u64
@@ -109,6 +126,20 @@
     pub skipped: usize,
 }
 
+/// What holds of an answer to a call that was given up or replaced.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LateAnswer {
+    /// All of it: nothing newer is known.
+    Holds,
+    /// Only that backends leave.
+    Departures {
+        /// A whole list says so, too, by leaving backends out.
+        omissions: bool,
+    },
+    /// Nothing: what is known is as new, or newer.
+    Outdated,
+}
+
 /// The course of asking.
 #[derive(Debug)]
 pub struct Asking {
@@ -121,11 +152,21 @@
     again_at: Option<f64>,
     /// The version that changes are asked from; none where only the whole list can tell.
     version: Option<u64>,
+    /// The version of the list that was taken last, whatever has failed since.
+    held: Option<u64>,
     /// The decisions wish for news. Where lists are pushed there is no need to.
     wanted: bool,
     /// What was missed counts as told from then on.
     due: Option<f64>,
-    /// Some line could not be read: the whole list is asked for then, and how often that was so in a row.
+    /// The same of the last move, where an earlier moment comes first.
+    last_move_due: Option<f64>,
+    /// Calls that were made, and addresses that were moved to.
+    calls: u64,
+    epoch: u32,
+    /// The newest call to this address that was answered.
+    answered_call: Option<u64>,
+    /// Some line could not be read, or backends left by an answer of which nothing else holds: the whole list is asked for
+    /// then. And how often lines could not be read in a row.
     whole_at: Option<f64>,
     spoilt: u32,
     pause_until: f64,
@@ -144,8 +185,13 @@
             unheard: how == Discovery::Pushed,
             again_at: None,
             version: known,
+            held: known,
             wanted: how == Discovery::Pushed,
             due: None,
+            last_move_due: None,
+            calls: 0,
+            epoch: 0,
+            answered_call: None,
             whole_at: None,
             spoilt: 0,
             pause_until: f64::NEG_INFINITY,
@@ -156,11 +202,23 @@
 
     /// Settings came that name another discovery, or another way in which its lists arrive. It may count anew, so the
     /// whole list is asked for, at once, whatever pace the old one had earned.
+    ///
+    /// A moment from which news counts as told is put off by no further move: settings may follow each other within seconds.
     pub fn moved(&mut self, now: f64, how: Discovery) {
         let rng = self.rng.clone();
-        *self = Asking { rng, try_ms: self.try_ms, ..Asking::new(how, self.longest_wait, None, 0) };
+        let (calls, epoch) = (self.calls, self.epoch.wrapping_add(1));
+        let move_due = now + MOVED_MS;
+        let due = self.due.filter(|due| now < *due).map_or(move_due, |due| due.min(move_due));
+        *self = Asking {
+            rng,
+            try_ms: self.try_ms,
+            calls,
+            epoch,
+            ..Asking::new(how, self.longest_wait, None, 0)
+        };
         self.wanted = true;
-        self.due = Some(now + MOVED_MS);
+        self.due = Some(due);
+        self.last_move_due = (due < move_due).then_some(move_due);
     }
 
     /// The settings give these times for asking and for drains, in milliseconds, from the next call on.
@@ -175,6 +233,11 @@
         self.again_at = self.again_at.filter(|_| wanted);
     }
 
+    /// The place of the last call that was made in the order of all.
+    pub fn last_call(&self) -> u64 {
+        self.calls
+    }
+
     /// The version of the list that is known, unless part of it could not be read.
     pub fn version(&self) -> Option<u64> {
         self.version.filter(|_| self.whole_at.is_none())
@@ -213,20 +276,30 @@
         };
         let tries = self.unheard && self.how == Discovery::Pushed;
         let try_ms = tries.then(|| self.draw(self.try_ms));
-        Next::Call(Call { ask, limit_ms, try_ms, begun: now })
+        self.calls += 1;
+        Next::Call(Call {
+            ask,
+            limit_ms,
+            try_ms,
+            begun: now,
+            number: self.calls,
+            epoch: self.epoch,
+            answered_before: self.answered_call,
+        })
     }
 
     /// A call was answered. True: its lines hold; false: they are of another count, and only a whole list tells.
     pub fn answered(&mut self, now: f64, call: &Call, told: Told) -> bool {
-        self.due = None;
+        (self.due, self.last_move_due) = (None, None);
         (self.unheard, self.again_at) = (false, None);
+        self.answered_call = self.answered_call.max(Some(call.number));
         let before = self.version;
         if !told.all && before.is_none_or(|version| told.version < version) {
             self.version = None;
             self.rest(now);
             return false;
         }
-        self.version = Some(told.version);
+        (self.version, self.held) = (Some(told.version), Some(told.version));
         if told.skipped > 0 {
             // What that line had to tell is in the whole list, if anywhere; a service that never gets it right must
             // not be asked for that without end.
@@ -244,10 +317,45 @@
         true
     }
 
+    /// A call was answered that had been given up or replaced: what of its answer holds.
+    pub fn answered_late(&mut self, now: f64, call: &Call, told: Told) -> LateAnswer {
+        if call.epoch != self.epoch {
+            // The counts of two addresses cannot be compared. Once the new one has answered, its list tells more than an
+            // omission at the old one.
+            return LateAnswer::Departures { omissions: self.answered_call.is_none() };
+        }
+        if self.answered_call == call.answered_before {
+            if let Ask::Changes { after, .. } = call.ask
+                && told.version >= after
+            {
+                // Nothing was taken since, so the changes go on from what is known.
+                self.version = Some(after);
+            }
+        } else if self.held.is_some_and(|held| told.version <= held) {
+            return LateAnswer::Outdated;
+        } else if !told.all || self.answered_call > Some(call.number) {
+            return LateAnswer::Departures { omissions: true };
+        }
+        if !self.answered(now, call, told) {
+            return LateAnswer::Departures { omissions: false };
+        }
+        // Discovery can be heard: nobody has to pace the next call.
+        self.wanted = true;
+        LateAnswer::Holds
+    }
+
+    /// Backends are kept out by an answer of which nothing else held. The whole list, asked for from here on, tells whether
+    /// they still are.
+    pub fn departed(&mut self, now: f64) {
+        self.whole_at = Some(self.whole_at.map_or(now, |at| at.min(now)));
+        self.wanted = true;
+    }
+
     /// A call was answered with more than can be read. What is known holds, its changes are asked for, and the whole list
     /// is tried again ever more seldom: neither is a service to be asked for that without end.
     pub fn overlong(&mut self, now: f64) {
-        (self.due, self.unheard, self.again_at) = (None, false, None);
+        (self.due, self.last_move_due) = (None, None);
+        (self.unheard, self.again_at) = (false, None);
         let pause = self.spoilt_pause();
         self.whole_at = Some(now + pause);
         if self.version.is_none() {
@@ -274,7 +382,9 @@
             self.vain = 0;
             return false;
         }
-        self.due = self.due.filter(|due| now < *due);
+        if self.due.is_some_and(|due| now >= due) {
+            self.due = self.last_move_due.take().filter(|due| now < *due);
+        }
         if self.how == Discovery::Pushed {
             // Whoever answers next may count anew, and here the whole list costs nothing.
             self.version = None;
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! [`packet`] is how it is written into datagrams of at most 256 bytes. `docs/shared-state.md` tells the whole.
 
 pub mod asking;
+pub mod departures;
 pub mod fleet;
 pub mod members;
 pub mod packet;
--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -10,7 +10,7 @@
 
 use crate::interface::{BackendId, Entry, Health, ListKind, Settings};
 use crate::measure::mix;
-use std::collections::{BTreeMap, btree_map};
+use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -32,6 +32,20 @@
     pub uid: Arc<str>,
 }
 
+impl Target {
+    /// The same backend, removed.
+    fn gone(&self) -> Target {
+        let entry = Entry { health: Health::Gone, ..self.entry };
+        Target { entry, address: None, uid: self.uid.clone() }
+    }
+
+    /// It speaks of an earlier start of its backend than `other`.
+    fn of_earlier_start(&self, other: &Target) -> bool {
+        // A line that tells no start, as one of a removed backend may, is no older for that.
+        self.entry.ready_at_ms > 0.0 && self.entry.ready_at_ms < other.entry.ready_at_ms
+    }
+}
+
 /// Backends by their place on a ring.
 #[derive(Debug, Default)]
 struct Ring {
@@ -81,7 +95,7 @@
     }
 
     /// Takes one line.
-    fn note(&mut self, line: Target) {
+    pub fn note(&mut self, line: Target) {
         let id = line.entry.backend;
         let full = self.len() >= MOST_LINES;
         let near = self.home == Some(line.entry.zone);
@@ -119,7 +133,8 @@
         self.near.lines.get(&at).or_else(|| self.far.lines.get(&at))
     }
 
-    fn lines(&self) -> impl Iterator<Item = &Target> {
+    /// All of them.
+    pub fn lines(&self) -> impl Iterator<Item = &Target> {
         self.near.lines.values().chain(self.far.lines.values())
     }
 
@@ -258,6 +273,37 @@
         self.redraw(Some(old))
     }
 
+    /// Of these lines those by which backends leave, unless they speak of an earlier start than the known one. With
+    /// `omissions` whoever is up here and not among the lines leaves as well.
+    pub fn departures<'a>(
+        &self,
+        lines: impl IntoIterator<Item = &'a Target>,
+        omissions: bool,
+    ) -> Vec<Target> {
+        let mut named = BTreeSet::new();
+        let mut departures = Vec::new();
+        for line in lines {
+            let id = line.entry.backend;
+            if omissions {
+                named.insert(id);
+            }
+            let outdated = self.catalog.get(id).is_some_and(|known| line.of_earlier_start(known));
+            if line.entry.health != Health::Up && !outdated {
+                departures.push(line.clone());
+            }
+        }
+        if omissions {
+            let up = self.catalog.lines().filter(|line| line.entry.health == Health::Up);
+            departures.extend(up.filter(|line| !named.contains(&line.entry.backend)).map(Target::gone));
+        }
+        departures
+    }
+
+    /// A backend is not known to have left.
+    pub fn may_be_up(&self, id: BackendId) -> bool {
+        self.catalog.get(id).is_none_or(|line| line.entry.health == Health::Up)
+    }
+
     /// How many nodes hold a backend, of so many; none where that is all.
     pub fn held_by(&self, instances: u32) -> Option<u32> {
         let up = self.catalog.up();
@@ -301,19 +347,15 @@
         let mut lines = Vec::new();
         let mut leaving = 0;
         self.held.retain(|id, line| {
-            let gone = |line: &Target| {
-                let entry = Entry { health: Health::Gone, ..line.entry };
-                Target { entry, address: None, uid: line.uid.clone() }
-            };
             let Some(now) = self.catalog.get(*id) else {
-                lines.push(gone(line));
+                lines.push(line.gone());
                 return false;
             };
             // Who drains has work of ours perhaps, and operators look for it; but it must not pile up.
             leaving += usize::from(now.entry.health != Health::Up);
             let stays = chosen.contains_key(id) || now.entry.health != Health::Up && leaving <= self.size;
             if !stays {
-                lines.push(gone(now));
+                lines.push(now.gone());
             } else if now != line {
                 lines.push(now.clone());
                 *line = now.clone();
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -4,6 +4,7 @@
 //! open. It decides nothing itself.
 
 use crate::body::Upload;
+use crate::listing::Lines;
 use crate::log::{self, say};
 use crate::peers::Peers;
 use crate::rules::Rules;
@@ -337,6 +338,8 @@
     version: Cell<Option<u64>>,
     /// Lists that were too long to be read.
     too_long: Cell<u64>,
+    /// Answers of discovery to calls that had been given up or replaced.
+    late_lists: Cell<u64>,
     /// Where findings go that the fleet shares.
     share: RefCell<Option<Sharer>>,
 }
@@ -377,6 +380,7 @@
             heard: Cell::new(false),
             version: Cell::new(None),
             too_long: Cell::new(0),
+            late_lists: Cell::new(0),
             share: RefCell::default(),
         })
     }
@@ -417,6 +421,27 @@
         self.too_long.set(self.too_long.get() + 1);
     }
 
+    /// A call to discovery was answered that had been given up or replaced.
+    pub fn answered_late(&self) {
+        self.late_lists.set(self.late_lists.get() + 1);
+    }
+
+    /// The lines of an answer by which backends leave; with `omissions` whoever a whole list leaves out leaves, too.
+    pub fn departures(&self, lines: &Lines, omissions: bool) -> Vec<Target> {
+        let core = self.core.borrow();
+        match lines {
+            Lines::Few(lines) => core.subset.departures(lines, omissions),
+            Lines::Whole(catalog, _) => core.subset.departures(catalog.lines(), omissions),
+            Lines::Same => Vec::new(),
+        }
+    }
+
+    /// Some of these backends are not known to have left.
+    pub fn are_news(&self, departures: &[Target]) -> bool {
+        let core = self.core.borrow();
+        departures.iter().any(|line| core.subset.may_be_up(line.entry.backend))
+    }
+
     /// Times in the figures are kept for `window` from here on.
     pub fn retune_stats(&self, window: Duration) {
         self.core.borrow_mut().stats.retune(window);
@@ -494,6 +519,7 @@
         let subset = core.subset.figures();
         json["list"] = json!({"version": self.version.get(), "backends": subset.listed, "up": subset.up,
             "held": subset.held, "joined": subset.joined, "left_out": subset.left_out, "too_long": self.too_long.get(),
+            "late": self.late_lists.get(),
             "held_by": core.balancer.settings().holders()});
         json["backends"] = backends.into();
         json["zones"] = zones.into();
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -2,10 +2,12 @@
 
 mod body;
 mod discovery;
+mod discovery_calls;
 mod driver;
 mod durable;
 mod framing;
 mod handover;
+mod listing;
 mod log;
 mod operator;
 mod peers;
@@ -197,16 +199,16 @@
     driver.still_out(kept.cordons.keys());
     driver.take(Input::Start);
     let names = &rules.get().names;
-    let known = discovery::listing(&config.known, names);
+    let known = listing::listing(&config.known, names);
     let last = kept.list.as_deref().and_then(|text| serde_json::from_str(text).ok());
-    let last = last.and_then(|json| discovery::listing(&json, names));
+    let last = last.and_then(|json| listing::listing(&json, names));
     // Of two the one that was made later, as far as their versions tell.
     let known = match (known, last) {
-        (Some(known), Some(last)) if known.version() >= last.version() => Some(known),
+        (Some(known), Some(last)) if known.rev >= last.rev => Some(known),
         (known, None) => known,
         (_, last) => last,
     };
-    let version = known.as_ref().and_then(discovery::Listing::complete);
+    let version = known.as_ref().and_then(listing::Listing::complete);
     driver.list_version(version);
     if let Some(known) = known {
         known.tell_skipped();
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -1,11 +1,13 @@
 //! What discovery is asked, and when: whatever comes of it, news is here before it counts as told, what could not be
 //! read is asked for again, and no service is asked without end.
 
-use daleturn::control::asking::{Ask, Asking, Call, Next, Told};
-use daleturn::interface::Discovery;
+use daleturn::control::asking::{Ask, Asking, Call, LateAnswer, Next, Told};
+use daleturn::control::departures::Departures;
+use daleturn::control::subset::Target;
+use daleturn::interface::{BackendId, Discovery, Entry, Health};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const WAYS: [Discovery; 2] = [Discovery::Pushed, Discovery::OnRequest];
 /// Time for a connection and an answer that need not wait.
@@ -198,6 +200,68 @@
     }
 }
 
+proptest! {
+    #![proptest_config(fixed(6000))]
+
+    /// Answers that are read in any order, of calls that were given up or replaced, over moves to addresses that count alike or
+    /// anew: whoever was told to leave is out once that has been read, and in the end the list here is the service's.
+    #[test]
+    fn a_departure_that_was_read_holds_whichever_call_it_answers(
+        seed: u64, pushed: bool, steps in proptest::collection::vec((0_u8..10, 0_u64..4, any::<bool>(), 0_usize..4), 1..120),
+    ) {
+        let how = WAYS[usize::from(!pushed)];
+        let mut asking = Asking::new(how, 10_000.0, None, seed);
+        asking.wish(true);
+        let mut service = Service { version: 1 << 40, ..Service::default() };
+        service.change(0, true);
+        let mut list = LateList::default();
+        let mut now = 0.0;
+        for (what, uid, up, which) in steps {
+            now += 30.0;
+            match what {
+                0 | 1 => {
+                    service.change(uid, up);
+                    list.changed(uid, up, now);
+                }
+                2 => {
+                    if let Some(call) = list.current.take() {
+                        asking.failed(now, &call);
+                        list.replaced.push(call);
+                    }
+                }
+                3 if up => {
+                    // The new address counts alike, or from somewhere else.
+                    list.counts.push((asking.last_call(), uid * 1000));
+                    list.replaced.extend(list.current.take());
+                    asking.moved(now, how);
+                }
+                4..=6 => list.write(&service, now, which),
+                _ => list.read(&mut asking, now, which),
+            }
+            if list.current.is_none() {
+                list.current = Some(call(&mut asking, &mut now));
+            }
+            let up_here = list.departed.iter().find(|uid| list.here.get(uid) == Some(&true));
+            prop_assert_eq!(up_here, None, "has left and is up here");
+        }
+        // What is written is read, or its call is given up.
+        while !list.written.is_empty() {
+            list.read(&mut asking, now, 0);
+        }
+        // In the end it counts as at first.
+        if list.counts.last().is_some_and(|(_, less)| *less > 0) {
+            asking.moved(now, how);
+        } else if let Some(call) = list.current {
+            asking.failed(now, &call);
+        }
+        let end = now + 45_000.0;
+        while now < end {
+            service.serve(&mut asking, &mut list.here, &mut now);
+        }
+        prop_assert_eq!(list.here, service.all);
+    }
+}
+
 /// A discovery that is down and returns: what was begun before that hangs or is refused, what is begun later is
 /// answered at once, but for calls that are reset.
 struct Down {
@@ -346,6 +410,117 @@
     }
 }
 
+fn target(uid: u64, up: bool) -> Target {
+    let health = if up { Health::Up } else { Health::Draining };
+    let backend = BackendId(uid);
+    let entry = Entry { backend, zone: 0, cell: 0, health, units: 1.0, ready_at_ms: 0.0 };
+    Target { entry, address: None, uid: uid.to_string().into() }
+}
+
+/// An answer that the service has written and that nobody has read yet.
+struct Written {
+    at: f64,
+    call: Call,
+    told: Told,
+    lines: BTreeMap<u64, bool>,
+}
+
+/// The list at a node whose calls are answered late, and the calls that are out.
+#[derive(Default)]
+struct LateList {
+    here: BTreeMap<u64, bool>,
+    current: Option<Call>,
+    replaced: Vec<Call>,
+    written: Vec<Written>,
+    /// After which call each further address was moved to, and how much less its versions are.
+    counts: Vec<(u64, u64)>,
+    /// When each was last up again in the service.
+    up_at: BTreeMap<u64, f64>,
+    /// Whoever left by an answer of which nothing else held.
+    departures: Departures,
+    /// Whoever left by an answer that was read, and was not up again since that was written.
+    departed: BTreeSet<u64>,
+}
+
+impl LateList {
+    /// The service says something else of one.
+    fn changed(&mut self, uid: u64, up: bool, now: f64) {
+        if up {
+            self.up_at.insert(uid, now);
+            self.departed.remove(&uid);
+        }
+    }
+
+    /// The service answers one of the calls that are out.
+    fn write(&mut self, service: &Service, now: f64, which: usize) {
+        let current = self.replaced.is_empty() || which == 0;
+        let call =
+            if current { self.current } else { Some(self.replaced.remove(which % self.replaced.len())) };
+        let Some(call) = call.filter(|call| !self.written.iter().any(|w| w.call.number() == call.number()))
+        else {
+            return;
+        };
+        let count = self.counts.iter().rev().find(|(last_call, _)| *last_call < call.number());
+        let less = count.map_or(0, |(_, less)| *less);
+        let told = |uid: &u64| match call.ask {
+            Ask::Whole => true,
+            Ask::Changes { after, .. } => service.changed[uid] - less > after,
+        };
+        let lines = service.all.iter().filter(|(uid, _)| told(uid)).map(|(uid, up)| (*uid, *up)).collect();
+        let told = Told { version: service.version - less, all: call.ask == Ask::Whole, skipped: 0 };
+        self.written.push(Written { at: now, call, told, lines });
+    }
+
+    /// The node reads one of the answers, in any order.
+    fn read(&mut self, asking: &mut Asking, now: f64, which: usize) {
+        if self.written.is_empty() {
+            return;
+        }
+        let Written { at, call, told, lines } = self.written.remove(which % self.written.len());
+        self.replaced.retain(|replaced| replaced.number() != call.number());
+        let current = self.current.is_some_and(|current| current.number() == call.number());
+        let late = if current {
+            self.current = None;
+            let holds = asking.answered(now, &call, told);
+            let departures = LateAnswer::Departures { omissions: false };
+            if holds { LateAnswer::Holds } else { departures }
+        } else {
+            asking.answered_late(now, &call, told)
+        };
+        let still_out = |uid: &u64| self.up_at.get(uid).is_none_or(|up_at| *up_at < at);
+        self.departed.extend(lines.iter().filter(|(uid, up)| !**up && still_out(uid)).map(|(uid, _)| uid));
+        match late {
+            LateAnswer::Outdated => {}
+            LateAnswer::Holds => {
+                if told.all {
+                    self.here.clear();
+                }
+                let mut targets: Vec<Target> = lines.iter().map(|(uid, up)| target(*uid, *up)).collect();
+                if self.departures.keep_out(call.number(), &mut targets) {
+                    asking.departed(now);
+                }
+                let up = |target: &Target| target.entry.health == Health::Up;
+                self.here.extend(targets.iter().map(|target| (target.entry.backend.0, up(target))));
+                self.replaced.extend(self.current.take());
+            }
+            LateAnswer::Departures { .. } => {
+                let leave = lines.iter().filter(|(_, up)| !**up);
+                let leave: Vec<u64> = leave.map(|(uid, _)| *uid).collect();
+                let targets: Vec<Target> = leave.iter().map(|uid| target(*uid, false)).collect();
+                self.departures.note(&targets, asking.last_call());
+                if leave.iter().any(|uid| self.here.get(uid) != Some(&false)) {
+                    asking.departed(now);
+                    // A watch that is out is replaced by the whole list.
+                    if self.current.is_some_and(|current| current.ask != Ask::Whole) {
+                        self.replaced.extend(self.current.take());
+                    }
+                }
+                self.here.extend(leave.iter().map(|uid| (*uid, false)));
+            }
+        }
+    }
+}
+
 #[test]
 fn a_line_that_cannot_be_read_leads_to_whole_lists_at_a_pace_that_slows() {
     for how in WAYS {
