Hand out each address of the lab's nodes only once

An address is found by binding port 0 and closing it again, so until the node has bound it the system hands it out anew: to another node's listener, which shares it unseen (SO_REUSEPORT), or to an operator's one, which ends the node.

--- a/crates/lab/src/real/mod.rs
+++ b/crates/lab/src/real/mod.rs
@@ -1,6 +1,7 @@
 //! A day on loopback: servers, discovery and clients in this process, nodes as processes of their own, and troubles
 //! by the clock.
 
+pub mod addresses;
 mod clients;
 mod discovery;
 mod links;
--- a/crates/lab/src/real/nodes.rs
+++ b/crates/lab/src/real/nodes.rs
@@ -1,6 +1,7 @@
 //! Nodes as processes: started with a place of their own, killed, frozen, ended, upgraded, told things.
 
 use super::World;
+use super::addresses::free_address;
 use super::links::{lock, own_ip};
 use crate::scenario::{Kind, Next, What};
 use crate::settings::settings;
@@ -55,12 +56,6 @@
     starts: Mutex<u32>,
 }
 
-/// A free address of that ip. Another program could take the port before it is used; then the node cannot start,
-/// and says so.
-fn free(ip: std::net::Ipv4Addr) -> io::Result<SocketAddr> {
-    std::net::TcpListener::bind((ip, 0))?.local_addr()
-}
-
 impl Node {
     /// One that has not started.
     ///
@@ -76,8 +71,8 @@
         let ip = own_ip(ADDRESS + number as u32 % 30);
         Ok(Node {
             number,
-            listen: free(ip)?,
-            peer_listen: free(ip)?,
+            listen: free_address(ip)?,
+            peer_listen: free_address(ip)?,
             program: Mutex::new(program.to_owned()),
             dir,
             logs: logs.map(Path::to_owned),
@@ -180,7 +175,7 @@
     /// The supervisor's file, with both versions; where it is called comes back.
     fn supervisor(&self, world: &World) -> io::Result<(PathBuf, SocketAddr)> {
         let ip = own_ip(ADDRESS + self.number as u32 % 30);
-        let (at, first, second) = (free(ip)?, free(ip)?, free(ip)?);
+        let (at, first, second) = (free_address(ip)?, free_address(ip)?, free_address(ip)?);
         let one = lock(&self.program).clone();
         let next = world.next.clone().unwrap_or_else(|| one.clone());
         // A name of its own for each version: what runs is seen from outside by its path.
@@ -272,7 +267,7 @@
             std::fs::remove_dir_all(&tmp).and_then(|()| std::fs::create_dir_all(&tmp))?;
         }
         self.write(world)?;
-        let mut operator = free(own_ip(ADDRESS + self.number as u32 % 30))?;
+        let mut operator = free_address(own_ip(ADDRESS + self.number as u32 % 30))?;
         let supervisor = if Node::supervised(world) {
             let (file, at) = self.supervisor(world)?;
             operator = at;
