Let short tries beside a call to discovery live on while others are made

Cause: try_beside gave each try a time of its own, 40 to 125 ms at most, and closed it before the next: an agent that takes longer is heard by none, and its written answers are thrown away.

Change: a try is a call beside the current one, made at the same pace; eight live at once, the oldest is closed for a ninth. The first answer is taken as any late one is, and replaces the current call. Ruled out as a cure: longer tries, one after the other, which notice a return later than the grace.

--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -288,6 +288,12 @@
         })
     }
 
+    /// The same call once more, made beside it.
+    pub fn beside(&mut self, now: f64, call: &Call) -> Call {
+        self.calls += 1;
+        Call { try_ms: None, begun: now, number: self.calls, answered_before: self.answered_call, ..*call }
+    }
+
     /// A call was answered. True: its lines hold; false: they are of another count, and only a whole list tells.
     pub fn answered(&mut self, now: f64, call: &Call, told: Told) -> bool {
         (self.due, self.last_move_due) = (None, None);
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -58,10 +58,11 @@
             resources,
             failures: Failures::default(),
             departures: Departures::default(),
+            next_try: None,
             driver,
         };
         loop {
-            if !list.calls.waiting() {
+            if list.calls.current().is_none() {
                 while let Ok(wish) = self.wishes.try_recv() {
                     list.asking.wish(wish);
                 }
@@ -73,7 +74,7 @@
                 Some(told) = progress.recv() => list.take(told).await,
                 (new, how) = moved(&mut address) => list.move_to(new, how),
                 // The decisions may wish for the next call sooner.
-                wish = self.wishes.recv(), if !list.calls.waiting() => match wish {
+                wish = self.wishes.recv(), if list.calls.current().is_none() => match wish {
                     Some(wish) => list.asking.wish(wish),
                     None => return,
                 },
@@ -90,27 +91,44 @@
     resources: Rc<Resources>,
     failures: Failures,
     departures: Departures,
+    /// When the current call is made once more beside itself, and how much later again.
+    next_try: Option<(f64, f64)>,
     driver: Rc<Driver>,
 }
 
 impl List {
     /// Makes the next call, if it is time. Hands back the milliseconds until then, where that is known.
     fn go_on(&mut self) -> Option<f64> {
-        if self.calls.waiting() {
-            return None;
+        if let Some(current) = self.calls.current() {
+            return self.try_again(&current);
         }
         let settings = &self.resources.rules.get().settings;
         self.asking.retune(settings.must_ask_in_ms, settings.drain_grace_ms);
-        match self.asking.next(self.driver.clock.now_ms()) {
+        let now = self.driver.clock.now_ms();
+        match self.asking.next(now) {
             Next::Rest => None,
             Next::Pause(ms) => Some(ms),
             Next::Call(call) => {
                 self.calls.begin(call);
-                None
+                self.next_try = call.try_ms.map(|try_ms| (now + try_ms, try_ms));
+                call.try_ms
             }
         }
     }
 
+    /// Makes the current call once more beside itself, if it is time. One that fails soon is not repeated sooner.
+    fn try_again(&mut self, current: &Call) -> Option<f64> {
+        let (at, try_ms) = self.next_try?;
+        let now = self.driver.clock.now_ms();
+        if now < at {
+            return Some(at - now);
+        }
+        let call = self.asking.beside(now, current);
+        self.calls.begin_beside(call);
+        self.next_try = Some((now + try_ms, try_ms));
+        Some(try_ms)
+    }
+
     /// Asks another address from now on. What the old one has written may still be under way.
     fn move_to(&mut self, at: SocketAddr, how: Discovery) {
         self.calls.move_to(at);
@@ -120,21 +138,22 @@
 
     async fn take(&mut self, progress: Progress) {
         match progress {
-            Progress::GivenUp { call, tries } => {
+            Progress::GivenUp(call) => {
                 if self.calls.given_up(&call) {
-                    self.failed(&call, tries, "deadline has elapsed");
+                    self.failed(&call, "deadline has elapsed");
                 }
             }
             Progress::Ended(mut ended) => {
+                let beside = self.calls.is_beside(&ended.call);
                 let current = self.calls.ended(&mut ended);
-                let Ended { call, tries, overtaken, compared, answer, .. } = *ended;
+                let Ended { call, compared, answer, .. } = *ended;
                 let answer = answer.and_then(|listing| self.still_same(listing, compared));
                 match answer {
-                    Ok(listing) if current => self.answered(&call, tries, overtaken, listing).await,
-                    Ok(listing) => self.answered_late(&call, listing).await,
+                    Ok(listing) if current => self.answered(&call, listing).await,
+                    Ok(listing) => self.answered_late(&call, beside, listing).await,
                     Err(e) if current && e.is::<TooLong>() => self.overlong(),
-                    Err(e) if current => self.failed(&call, tries, &e.to_string()),
-                    // It counts as failed already.
+                    Err(e) if current => self.failed(&call, &e.to_string()),
+                    // It counts as failed already, or another call does.
                     Err(_) => {}
                 }
             }
@@ -155,25 +174,9 @@
         }
     }
 
-    async fn answered(&mut self, call: &Call, tries: u32, overtaken: bool, listing: Listing) {
+    async fn answered(&mut self, call: &Call, listing: Listing) {
         let now = self.driver.clock.now_ms();
-        if overtaken {
-            self.failures.tell(now, call, tries, false, "a try beside it was answered first");
-        }
-        self.failures.over();
-        listing.tell_skipped();
-        if listing.entries > 0 {
-            let Listing { rev: version, all, entries, .. } = listing;
-            say!(
-                INFO,
-                "discovery",
-                version,
-                entries,
-                all,
-                after_ms = call.after_ms(now),
-                "discovery.listed"
-            );
-        }
+        self.heard(now, call, &listing);
         // No change is news too where discovery is asked: the call did not fail.
         if self.asking.answered(now, call, told(&listing)) {
             self.hold(call, listing).await;
@@ -182,33 +185,45 @@
         }
     }
 
-    async fn answered_late(&mut self, call: &Call, listing: Listing) {
+    /// `beside`: the call was made beside another, and is not late by being replaced.
+    async fn answered_late(&mut self, call: &Call, beside: bool, listing: Listing) {
         let now = self.driver.clock.now_ms();
         let late = self.asking.answered_late(now, call, told(&listing));
-        let Listing { rev: version, all, entries, .. } = listing;
-        say!(
-            INFO,
-            "discovery",
-            version,
-            entries,
-            all,
-            after_ms = call.after_ms(now),
-            ?late,
-            "discovery.late"
-        );
-        self.driver.answered_late();
+        if late == LateAnswer::Outdated {
+            return;
+        }
+        if !beside {
+            let Listing { rev: version, all, entries, .. } = listing;
+            let after_ms = call.after_ms(now);
+            say!(INFO, "discovery", version, entries, all, after_ms, ?late, "discovery.late");
+            self.driver.answered_late();
+        }
         match late {
             LateAnswer::Outdated => {}
             LateAnswer::Holds => {
+                if let Some(current) = self.calls.current().filter(|_| beside) {
+                    let reason = "a try beside it was answered first";
+                    self.failures.tell(now, &current, self.calls.tries(), false, reason);
+                }
                 self.calls.replace();
-                self.failures.over();
-                listing.tell_skipped();
+                self.heard(now, call, &listing);
                 self.hold(call, listing).await;
             }
             LateAnswer::Departures { omissions } => self.depart(listing, omissions).await,
         }
     }
 
+    /// Discovery was heard, and nothing newer is known than this.
+    fn heard(&mut self, now: f64, call: &Call, listing: &Listing) {
+        self.failures.over();
+        listing.tell_skipped();
+        if listing.entries > 0 {
+            let Listing { rev: version, all, entries, .. } = *listing;
+            let after_ms = call.after_ms(now);
+            say!(INFO, "discovery", version, entries, all, after_ms, "discovery.listed");
+        }
+    }
+
     /// Takes all that an answer says.
     async fn hold(&mut self, call: &Call, listing: Listing) {
         self.driver.list_version(self.asking.version());
@@ -260,7 +275,8 @@
         say!(ERROR, "discovery", limit = LIST_LIMIT, "discovery.list_too_long");
     }
 
-    fn failed(&mut self, call: &Call, tries: u32, reason: &str) {
+    fn failed(&mut self, call: &Call, reason: &str) {
+        let tries = self.calls.tries();
         let now = self.driver.clock.now_ms();
         let paced = self.asking.failed(now, call);
         // Calls that the decisions pace are few: each failure is told.
--- a/src/node/discovery_calls.rs
+++ b/src/node/discovery_calls.rs
@@ -1,4 +1,5 @@
-//! Calls to discovery that are out: the current one, and those that were replaced while their answers may be under way.
+//! Calls to discovery that are out: the current one, those that were made beside it since it may hang, and those that were
+//! replaced while their answers may be under way.
 //!
 //! What discovery has written counts as notified, whether or not the node still waits for it. A replaced call is therefore
 //! not closed at once: its answer is read for [`LATE_ANSWER_MS`] more.
@@ -27,6 +28,9 @@
 pub const LIST_LIMIT: usize = 32 * 1024 * 1024;
 /// Replaced calls that are read at once; of more the oldest is closed. Each holds a descriptor.
 const MOST_REPLACED: usize = 3;
+/// The same of calls that were made beside a current one. They follow each other within 125 ms at most, so that an agent that
+/// takes half a second is heard.
+const MOST_BESIDE: usize = 8;
 
 /// An answer of more bytes than a list may have.
 #[derive(Debug, thiserror::Error)]
@@ -36,12 +40,7 @@
 /// What became of a call.
 pub enum Progress {
     /// Its time is over. Its answer may still come.
-    GivenUp {
-        /// Which one.
-        call: Call,
-        /// Short tries beside it that failed.
-        tries: u32,
-    },
+    GivenUp(Call),
     /// It is over.
     Ended(Box<Ended>),
 }
@@ -50,10 +49,6 @@
 pub struct Ended {
     /// Which one.
     pub call: Call,
-    /// Short tries beside it that failed.
-    pub tries: u32,
-    /// One of them was answered while it hung.
-    pub overtaken: bool,
     /// The list that its answer was compared with.
     pub compared: Option<Seen>,
     /// What came of it.
@@ -91,7 +86,10 @@
     at: SocketAddr,
     resources: Rc<Resources>,
     current: Option<Outstanding>,
+    beside: VecDeque<Outstanding>,
     replaced: VecDeque<Outstanding>,
+    /// Calls that were made beside the current one.
+    tries: u32,
     conn: Option<Conn>,
     progress: mpsc::UnboundedSender<Progress>,
 }
@@ -103,7 +101,8 @@
         resources: Rc<Resources>,
         progress: mpsc::UnboundedSender<Progress>,
     ) -> Calls {
-        Calls { at, resources, current: None, replaced: VecDeque::new(), conn: None, progress }
+        let (beside, replaced) = Default::default();
+        Calls { at, resources, current: None, beside, replaced, tries: 0, conn: None, progress }
     }
 
     /// Calls go there from now on; the current one is replaced.
@@ -115,21 +114,45 @@
     /// Makes the current call.
     pub fn begin(&mut self, call: Call) {
         self.replace();
+        let conn = self.conn.take();
+        self.current = Some(self.make(call, conn));
+        self.tries = 0;
+    }
+
+    /// Makes a call beside the current one, on a connection of its own.
+    pub fn begin_beside(&mut self, call: Call) {
+        if self.beside.len() >= MOST_BESIDE {
+            self.beside.pop_front();
+        }
+        let made = self.make(call, None);
+        self.beside.push_back(made);
+        self.tries += 1;
+    }
+
+    fn make(&self, call: Call, conn: Option<Conn>) -> Outstanding {
         let (wanted, replaced) = oneshot::channel();
-        let progress = self.progress.clone();
-        let made = make(self.at, call, self.conn.take(), self.resources.clone(), replaced, progress);
-        let task = spawn_local(made).abort_handle();
-        self.current = Some(Outstanding { call, wanted: Some(wanted), task });
+        let made = make(self.at, call, conn, self.resources.clone(), replaced, self.progress.clone());
+        Outstanding { call, wanted: Some(wanted), task: spawn_local(made).abort_handle() }
+    }
+
+    /// The current call.
+    pub fn current(&self) -> Option<Call> {
+        self.current.as_ref().map(|current| current.call)
+    }
+
+    /// Calls that were made beside the current one.
+    pub fn tries(&self) -> u32 {
+        self.tries
     }
 
-    /// Some call is waited for.
-    pub fn waiting(&self) -> bool {
-        self.current.is_some()
+    /// The call was made beside another.
+    pub fn is_beside(&self, call: &Call) -> bool {
+        self.beside.iter().any(|beside| beside.call.number() == call.number())
     }
 
     /// Calls that are out.
     pub fn count(&self) -> usize {
-        usize::from(self.current.is_some()) + self.replaced.len()
+        usize::from(self.current.is_some()) + self.beside.len() + self.replaced.len()
     }
 
     /// The current call is not waited for any more, but its answer is read if it is under way.
@@ -164,7 +187,9 @@
         if current {
             self.current = None;
         }
-        self.replaced.retain(|replaced| replaced.call.number() != ended.call.number());
+        for calls in [&mut self.beside, &mut self.replaced] {
+            calls.retain(|out| out.call.number() != ended.call.number());
+        }
         if ended.at == self.at && self.conn.is_none() {
             self.conn = ended.conn.take();
         }
@@ -185,79 +210,42 @@
     replaced: oneshot::Receiver<()>,
     progress: mpsc::UnboundedSender<Progress>,
 ) {
-    let tries = Cell::new(0);
-    let (answer, other) = {
+    let answer = {
         let mut exchange = pin!(exchange(at, &call, &resources.descriptors, &mut conn));
         let in_time = tokio::select! {
             biased;
-            text = exchange.as_mut() => Some((text.map(Answer::Text), None)),
-            (listing, other) = try_beside(at, &call, &resources, &tries) => Some((Ok(Answer::Read(listing)), other)),
+            text = exchange.as_mut() => Some(text),
             // The sender is dropped, never used.
             _ = replaced => None,
             () = tokio::time::sleep(span(call.limit_ms)) => {
                 // Nobody listens where the node is ending.
-                let _ = progress.send(Progress::GivenUp { call, tries: tries.get() });
+                let _ = progress.send(Progress::GivenUp(call));
                 None
             }
         };
         match in_time {
-            Some(answered) => answered,
+            Some(text) => text,
             None => match tokio::time::timeout(span(LATE_ANSWER_MS), exchange).await {
-                Ok(text) => (text.map(Answer::Text), None),
-                Err(_) => (Err("deadline has elapsed".into()), None),
+                Ok(text) => text,
+                Err(_) => Err("deadline has elapsed".into()),
             },
         }
     };
-    let overtaken = other.is_some();
-    let conn = other.or(conn);
     // What it takes to read a long answer is no lateness of discovery's.
     let compared = resources.seen.get();
     let answer = match answer {
-        Ok(Answer::Text(text)) => read(text, &resources.rules, compared).await,
-        Ok(Answer::Read(listing)) => Ok(listing),
+        Ok(text) => read(text, &resources.rules, compared).await,
         Err(e) => Err(e),
     };
-    let tries = tries.get();
-    let ended = Ended { call, tries, overtaken, compared, answer, at, conn };
+    let ended = Ended { call, compared, answer, at, conn };
     let _ = progress.send(Progress::Ended(Box::new(ended)));
 }
 
-/// What discovery answered, or what was read of it already.
-enum Answer {
-    Text(Bytes),
-    Read(Listing),
-}
-
 /// A time of the decisions.
 pub fn span(ms: f64) -> Duration {
     Duration::from_secs_f64(ms / 1000.0)
 }
 
-/// Short tries beside a call that may hang, each on a connection of its own; for ever where the call wants none.
-async fn try_beside(
-    at: SocketAddr,
-    call: &Call,
-    resources: &Resources,
-    failed: &Cell<u32>,
-) -> (Listing, Option<Conn>) {
-    let Some(try_ms) = call.try_ms else { return std::future::pending().await };
-    // The call itself is the first try.
-    tokio::time::sleep(span(try_ms)).await;
-    loop {
-        // One that fails sooner than its time is not repeated sooner.
-        let over = tokio::time::sleep(span(try_ms));
-        let mut conn = None;
-        let answer = exchange(at, call, &resources.descriptors, &mut conn);
-        if let Ok(Ok(text)) = tokio::time::timeout(span(try_ms), answer).await
-            && let Ok(listing) = read(text, &resources.rules, resources.seen.get()).await
-        {
-            return (listing, conn);
-        }
-        failed.set(failed.get() + 1);
-        over.await;
-    }
-}
-
 async fn exchange(
     at: SocketAddr,
     call: &Call,
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -203,7 +203,7 @@
 proptest! {
     #![proptest_config(fixed(6000))]
 
-    /// Answers that are read in any order, of calls that were given up or replaced, over moves to addresses that count alike or
+    /// Answers that are read in any order, of calls that were given up, replaced or made beside others, over moves to addresses that count alike or
     /// anew: whoever was told to leave is out once that has been read, and in the end the list here is the service's.
     #[test]
     fn a_departure_that_was_read_holds_whichever_call_it_answers(
@@ -236,6 +236,10 @@
                     asking.moved(now, how);
                 }
                 4..=6 => list.write(&service, now, which),
+                9 => {
+                    let beside = list.current.map(|current| asking.beside(now, &current));
+                    list.replaced.extend(beside);
+                }
                 _ => list.read(&mut asking, now, which),
             }
             if list.current.is_none() {
