Show by a failing test that a replaced call's last moment loses an answer

Checked: the node read a replaced call for 2 s and closed the connection within 60 ms of that answer's first byte; it asked nothing else meanwhile, since its new watch was open and hung. To blame: make in src/node/discovery_calls.rs, which drops the exchange after its last wait.

Change: a test with a discovery that writes its answer as it reads the node's end.

--- a/tests/node_late_lists.rs
+++ b/tests/node_late_lists.rs
@@ -17,9 +17,11 @@
 
 use node::*;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::thread;
 
 const MODES: [&str; 2] = ["pushed", "on_request"];
 
@@ -177,3 +179,47 @@
     wait_for("discovery is heard", || node.logged("discovery.recovered") > 0);
     assert_eq!(node.logged("a try beside it was answered first"), 1, "by a try beside the first call");
 }
+
+/// A discovery that tells a whole list, and answers a watch in the moment in which the node ends its sending on it.
+fn answers_at_the_end(first: Vec<u8>, last: Vec<u8>, watched: &Flag) -> SocketAddr {
+    let listener = TcpListener::bind(loopback(0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let watched = watched.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (first, last, watched) = (first.clone(), last.clone(), watched.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut stream = stream;
+                while let Some(message) = Message::read(&mut reader) {
+                    if !watches(&message) {
+                        let _ = stream.write_all(&first);
+                        continue;
+                    }
+                    watched.set();
+                    if Message::read(&mut reader).is_none() {
+                        let _ = stream.write_all(&last);
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+#[test]
+fn a_departure_that_is_written_as_the_node_ends_a_replaced_call_is_not_lost() {
+    for mode in MODES {
+        let (addresses, leaving) = two_backends();
+        let last = list(2, false, &[target("s-0", addresses[0], "draining")]);
+        let watched = Flag::default();
+        let old = answers_at_the_end(list(1, true, &all_up(&addresses)), last, &watched);
+        let new = backend(&Record::default(), |_, _| Act::Silent);
+        let mut node = node(old, mode);
+        watched.wait("a watch is open");
+        node.reconfigure(Some(new));
+        wait_until_out(&node, &leaving, mode);
+        assert_eq!(leaving.count(), 0, "{mode}: sent to a backend that leaves");
+    }
+}
