End a replaced call's sending first, and read what was written until then

Cause: the connection was closed both ways at once, also when a call made room for another. What the other side writes before it has seen that is lost.

Change: a call passes through stages, wanted, replaced, ending; at the end the node shuts down its sending and reads on for 0.3 s (src/node/discovery_calls.rs). A discovery that has seen the end writes no more. Calls that make room for others end alike.

--- a/src/node/discovery_calls.rs
+++ b/src/node/discovery_calls.rs
@@ -2,27 +2,28 @@
 //! replaced while their answers may be under way.
 //!
 //! What discovery has written counts as notified, whether or not the node still waits for it. A replaced call is therefore
-//! not closed at once: its answer is read for [`LATE_ANSWER_MS`] more.
+//! not closed at once: its answer is read for [`LATE_ANSWER_MS`] more. Nor is its connection then closed both ways in one
+//! moment, which would lose what is written in it: the node ends its sending first, and reads on for [`LAST_READ`].
 
 use crate::body::Outgoing;
 use crate::listing::{Listing, Seen, read};
 use crate::rules;
-use crate::socket::Descriptors;
+use crate::socket::{Descriptors, Socket};
 use crate::upstream::Conn;
 use bytes::Bytes;
 use daleturn::control::asking::{Ask, Call, LATE_ANSWER_MS};
 use http_body_util::LengthLimitError;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
 
 /// The whole list may be a great deal larger than a request.
 pub const LIST_LIMIT: usize = 32 * 1024 * 1024;
@@ -32,6 +33,9 @@
 /// takes half a second is heard.
 const MOST_BESIDE: usize = 8;
 
+/// So long a call is read after the node has ended its sending on it: what was written before discovery saw that arrives.
+const LAST_READ: Duration = Duration::from_millis(300);
+
 /// An answer of more bytes than a list may have.
 #[derive(Debug, thiserror::Error)]
 #[error("longer than {LIST_LIMIT} bytes")]
@@ -57,18 +61,21 @@
     conn: Option<Conn>,
 }
 
-/// A call that is out. Dropping it closes its connection.
-struct Outstanding {
-    call: Call,
-    /// Dropped once the call is replaced.
-    wanted: Option<oneshot::Sender<()>>,
-    task: AbortHandle,
+/// How much a call is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// It is waited for.
+    Wanted,
+    /// It was replaced. Its answer is read for a while.
+    Replaced,
+    /// It makes room for others: it ends with what was written until now.
+    Ending,
 }
 
-impl Drop for Outstanding {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+/// A call that is out. Once this is dropped, it ends with what was written until now.
+struct Outstanding {
+    call: Call,
+    stage: watch::Sender<Stage>,
 }
 
 /// What calls are made with.
@@ -130,9 +137,10 @@
     }
 
     fn make(&self, call: Call, conn: Option<Conn>) -> Outstanding {
-        let (wanted, replaced) = oneshot::channel();
-        let made = make(self.at, call, conn, self.resources.clone(), replaced, self.progress.clone());
-        Outstanding { call, wanted: Some(wanted), task: spawn_local(made).abort_handle() }
+        let (stage, staged) = watch::channel(Stage::Wanted);
+        let made = make(self.at, call, conn, self.resources.clone(), staged, self.progress.clone());
+        spawn_local(made);
+        Outstanding { call, stage }
     }
 
     /// The current call.
@@ -157,8 +165,8 @@
 
     /// The current call is not waited for any more, but its answer is read if it is under way.
     pub fn replace(&mut self) {
-        let Some(mut call) = self.current.take() else { return };
-        call.wanted = None;
+        let Some(call) = self.current.take() else { return };
+        call.stage.send_replace(Stage::Replaced);
         if self.replaced.len() >= MOST_REPLACED {
             self.replaced.pop_front();
         }
@@ -207,30 +215,14 @@
     call: Call,
     mut conn: Option<Conn>,
     resources: Rc<Resources>,
-    replaced: oneshot::Receiver<()>,
+    stage: watch::Receiver<Stage>,
     progress: mpsc::UnboundedSender<Progress>,
 ) {
-    let answer = {
-        let mut exchange = pin!(exchange(at, &call, &resources.descriptors, &mut conn));
-        let in_time = tokio::select! {
-            biased;
-            text = exchange.as_mut() => Some(text),
-            // The sender is dropped, never used.
-            _ = replaced => None,
-            () = tokio::time::sleep(span(call.limit_ms)) => {
-                // Nobody listens where the node is ending.
-                let _ = progress.send(Progress::GivenUp(call));
-                None
-            }
-        };
-        match in_time {
-            Some(text) => text,
-            None => match tokio::time::timeout(span(LATE_ANSWER_MS), exchange).await {
-                Ok(text) => text,
-                Err(_) => Err("deadline has elapsed".into()),
-            },
-        }
+    let given_up = || {
+        // Nobody listens where the node is ending.
+        let _ = progress.send(Progress::GivenUp(call));
     };
+    let answer = exchange_in_stages(at, &call, &resources, &mut conn, stage, given_up).await;
     // What it takes to read a long answer is no lateness of discovery's.
     let compared = resources.seen.get();
     let answer = match answer {
@@ -241,6 +233,41 @@
     let _ = progress.send(Progress::Ended(Box::new(ended)));
 }
 
+/// One call and its answer, however late it comes: waited for, then read for a while, then to the end of the connection.
+async fn exchange_in_stages(
+    at: SocketAddr,
+    call: &Call,
+    resources: &Resources,
+    conn: &mut Option<Conn>,
+    mut stage: watch::Receiver<Stage>,
+    given_up: impl FnOnce(),
+) -> Result<Bytes, Box<dyn Error>> {
+    let socket = RefCell::new(None);
+    let mut exchange = pin!(exchange(at, call, &resources.descriptors, conn, &socket));
+    tokio::select! {
+        biased;
+        text = exchange.as_mut() => return text,
+        () = reached(&mut stage, Stage::Replaced) => {}
+        () = tokio::time::sleep(span(call.limit_ms)) => given_up(),
+    }
+    tokio::select! {
+        biased;
+        text = exchange.as_mut() => return text,
+        () = reached(&mut stage, Stage::Ending) => {}
+        () = tokio::time::sleep(span(LATE_ANSWER_MS)) => {}
+    }
+    let socket: Option<Socket> = socket.borrow_mut().take();
+    let Some(socket) = socket else { return Err("no connection came up".into()) };
+    socket.end_sending();
+    tokio::time::timeout(LAST_READ, exchange).await.unwrap_or_else(|_| Err("deadline has elapsed".into()))
+}
+
+/// Waits until the call is in that stage, or in a later one.
+async fn reached(stage: &mut watch::Receiver<Stage>, wanted: Stage) {
+    // Whoever made the call has let go of it where the sender is dropped.
+    let _ = stage.wait_for(|stage| *stage >= wanted).await;
+}
+
 /// A time of the decisions.
 pub fn span(ms: f64) -> Duration {
     Duration::from_secs_f64(ms / 1000.0)
@@ -251,6 +278,7 @@
     call: &Call,
     descriptors: &Rc<Descriptors>,
     kept: &mut Option<Conn>,
+    socket: &RefCell<Option<Socket>>,
 ) -> Result<Bytes, Box<dyn Error>> {
     let path = match call.ask {
         Ask::Whole => "/discovery/hosts".to_owned(),
@@ -261,6 +289,7 @@
         Some(conn) => conn,
         None => Conn::open(at, descriptors.take().await).await?,
     };
+    socket.replace(Some(conn.socket()));
     let answer = conn.exchange(request, LIST_LIMIT).await.map_err(|e| -> Box<dyn Error> {
         if e.is::<LengthLimitError>() { TooLong.into() } else { e.to_string().into() }
     })?;
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -206,13 +206,19 @@
         self.0.flooded.get()
     }
 
+    /// Ends the sending. What the other side writes can still be read.
+    pub fn end_sending(&self) {
+        // One that is broken has nothing to end.
+        let _ = socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
+    }
+
     /// Ends the sending, and reads on without keeping anything until the other side has ended its own: a close over
     /// unread bytes resets, and the answer under way would be lost. The caller bounds the time.
     pub async fn farewell(&self) {
         if self.0.cut.get() {
             return;
         }
-        let _ = socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write);
+        self.end_sending();
         let mut left = MOST_UNREAD;
         while left > 0 && self.0.stream.readable().await.is_ok() {
             match self.drop_piece() {
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -192,6 +192,11 @@
         .await;
     }
 
+    /// What it goes through.
+    pub fn socket(&self) -> Socket {
+        self.socket.clone()
+    }
+
     /// Open at both ends and with nothing unread, which would be a farewell.
     pub fn alive(&self) -> bool {
         self.connection.is_some() && !self.sender.is_closed() && self.socket.quiet()
