Bound what a wrong wall clock does to the starts of backends

Cause: the node's clock goes on from its machine's wall clock at the start, and discovery's boot_ms was compared with it as it came.

Change: src/control/start_times.rs puts starts on the node's clock: none lies in the future, and one that was not listed when discovery was last heard is no older than that, less 5 s for lists that are late. A start that was listed from the first is taken as told; nothing here can tell that such a one is wrong. Messages between nodes, stored lists and figures keep the start as told.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,5 +10,6 @@
 pub mod members;
 pub mod packet;
 pub mod share;
+pub mod start_times;
 pub mod subset;
 pub mod zones;
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -247,6 +247,7 @@
         self.resources.seen.set(seen);
         let kind = if all { ListKind::Full } else { ListKind::Changes };
         hand_on(&self.driver, kind, lines).await;
+        self.driver.list_heard();
     }
 
     /// Takes no more of an answer than that backends leave: that counts as notified from the moment in which it was written,
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -12,6 +12,7 @@
 use crate::stats::{End, Stats};
 use crate::upstream::{Call, Conn, Errand, Finish, Reply, Upstream};
 use daleturn::Balancer;
+use daleturn::control::start_times::StartTimes;
 use daleturn::control::subset::{Catalog, News, Subset, Target};
 use daleturn::control::zones::{Change, Order, Zones};
 use daleturn::interface::{
@@ -303,6 +304,8 @@
     places: HashMap<BackendId, Place>,
     /// The whole list, and which part of it this node works with.
     subset: Subset,
+    /// When backends started, on this node's clock.
+    starts: StartTimes,
     /// What discovery lists of that part, whoever is out.
     listed: HashMap<BackendId, Target>,
     /// Who is out by the operators' word, whatever is listed.
@@ -362,6 +365,7 @@
                 open: HashMap::new(),
                 places: HashMap::new(),
                 subset: Subset::new(options.list.subset as usize, &rules.settings),
+                starts: StartTimes::default(),
                 listed: HashMap::new(),
                 cordoned: state.cordoned(),
                 zones: None,
@@ -416,6 +420,13 @@
         self.version.set(version);
     }
 
+    /// All of an answer of discovery was taken.
+    pub fn list_heard(&self) {
+        let core = &mut *self.core.borrow_mut();
+        core.starts.heard(self.clock.now_ms());
+        core.starts.trim(|backend| core.subset.knows(backend));
+    }
+
     /// A list was too long to be read.
     pub fn list_too_long(&self) {
         self.too_long.set(self.too_long.get() + 1);
@@ -772,8 +783,9 @@
         loop {
             let next = core.due.pop_front().or_else(|| self.inbox.borrow_mut().pop_front());
             let Some(input) = next else { return };
-            let Some(event) = core.event(input, &self.upstream) else { continue };
-            core.balancer.handle(self.clock.now_ms(), event, &mut actions);
+            let now = self.clock.now_ms();
+            let Some(event) = core.event(now, input, &self.upstream) else { continue };
+            core.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(&mut core, action);
             }
@@ -942,7 +954,7 @@
 
 impl Core {
     /// Notes what happened and says it in the decisions' words; none where they need not hear of it.
-    fn event(&mut self, input: Input, upstream: &Upstream) -> Option<Event> {
+    fn event(&mut self, now: f64, input: Input, upstream: &Upstream) -> Option<Event> {
         Some(match input {
             Input::Start => Event::Start,
             Input::Settings(mut settings) => {
@@ -954,12 +966,15 @@
             }
             Input::Memory(memory) => Event::Memory(memory),
             Input::List(kind, targets) => {
+                for Target { entry, .. } in &targets {
+                    self.starts.note(now, entry.backend, entry.ready_at_ms);
+                }
                 let news = self.subset.take(kind, targets);
-                self.news(news, upstream)
+                self.news(now, news, upstream)
             }
             Input::Whole(kind, catalog) => {
                 let news = self.subset.take_whole(kind, catalog);
-                self.news(news, upstream)
+                self.news(now, news, upstream)
             }
             Input::Cordoned(cordoned) => {
                 let before = std::mem::replace(&mut self.cordoned, cordoned);
@@ -971,7 +986,7 @@
                 if moved.is_empty() {
                     return None;
                 }
-                self.list(ListKind::Changes, moved, upstream)
+                self.list(now, ListKind::Changes, moved, upstream)
             }
             Input::Arrived(request, rules, call, owed) => {
                 let (attempts, course) = (Vec::new(), Vec::new());
@@ -1068,7 +1083,7 @@
     }
 
     /// Takes in news of the list, as far as this node works with it.
-    fn news(&mut self, news: News, upstream: &Upstream) -> Event {
+    fn news(&mut self, now: f64, news: News, upstream: &Upstream) -> Event {
         let News { kind, lines, old } = news;
         if let Some(old) = old {
             // Long to drop, and nobody waits for it.
@@ -1076,7 +1091,7 @@
         }
         self.note_listed(kind, &lines);
         self.share_out();
-        self.list(kind, lines, upstream)
+        self.list(now, kind, lines, upstream)
     }
 
     /// Sees to it that the decisions divide what a backend bears by the nodes that hold it. New settings for each
@@ -1112,14 +1127,18 @@
     }
 
     /// Takes in a list as the operators' word leaves it: who is out counts as draining.
-    fn list(&mut self, kind: ListKind, mut targets: Vec<Target>, upstream: &Upstream) -> Event {
+    fn list(&mut self, now: f64, kind: ListKind, mut targets: Vec<Target>, upstream: &Upstream) -> Event {
         for Target { entry, .. } in &mut targets {
             if entry.health == Health::Up && self.cordoned.contains_key(&entry.backend) {
                 entry.health = Health::Draining;
             }
         }
         self.place(kind, &targets, upstream);
-        Event::List { kind, entries: targets.into_iter().map(|t| t.entry).collect() }
+        let entries = targets.into_iter().map(|target| {
+            let entry = target.entry;
+            Entry { ready_at_ms: self.starts.own(now, entry.backend, entry.ready_at_ms), ..entry }
+        });
+        Event::List { kind, entries: entries.collect() }
     }
 
     fn place(&mut self, kind: ListKind, targets: &[Target], upstream: &Upstream) {
