Wait less for news on the first watches after trouble

Cause: the first watch after trouble waited half to all of the time for asking, 20 s at most, and was given up 0.5 s later.

Change: where discovery is asked, the first watch after a failure, a time-out or a move waits 2.9 s at most, the second 4.5 s; two that were answered show that watches are heard, and the usual wait follows. The answer by which discovery is heard again counts as no proof. Ruled out: short waits at all times, since a crowded service of six nodes answers one call each 0.29 s (docs/findings/silent-watch.md), and would be busy with nothing else.

--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -46,6 +46,10 @@
 const ROUND_MS: f64 = 2900.0;
 /// Longest wait for news of such a call: nobody can tell whether it waits or hangs, so it has to end within a round.
 const UNHEARD_WAIT_MS: f64 = 2000.0;
+/// Longest waits for news of the first watches after a call that failed, was given up or was replaced, where discovery is asked:
+/// from such a call on a change counts as told 6 s after discovery had it, also where the watch has fallen silent. The first
+/// leaves time for one more failure, and two that were answered show that watches are heard.
+const WAITS_AFTER_TROUBLE_MS: [f64; 2] = [2900.0, 4500.0];
 /// Length of a short try, where lists are pushed, as a part of the drain grace, and its bounds: the return, the next try
 /// and its answer come well within that grace, and a service that is down is tried no more often than one that refuses.
 const TRY_OF_GRACE: f64 = 0.25;
@@ -170,6 +174,8 @@
     whole_at: Option<f64>,
     spoilt: u32,
     pause_until: f64,
+    /// Watches that were answered since some call failed, was given up or was replaced; the first ones count.
+    proven: usize,
     /// Answers in a row that were of no use.
     vain: u32,
     rng: fastrand::Rng,
@@ -195,6 +201,7 @@
             whole_at: None,
             spoilt: 0,
             pause_until: f64::NEG_INFINITY,
+            proven: 0,
             vain: 0,
             rng: fastrand::Rng::with_seed(seed),
         }
@@ -262,7 +269,11 @@
                     _ if self.due.is_some() => 0.0,
                     Discovery::Pushed if self.unheard => 0.0,
                     _ if self.unheard => self.draw(self.longest_wait.min(UNHEARD_WAIT_MS)),
-                    _ => self.draw(self.longest_wait),
+                    _ => {
+                        let most =
+                            WAITS_AFTER_TROUBLE_MS.get(self.proven).copied().unwrap_or(f64::INFINITY);
+                        self.draw(self.longest_wait.min(most))
+                    }
                 };
                 let wait = self.whole_at.map_or(wait, |at| wait.min(at - now));
                 Ask::Changes { after, wait_ms: wait.ceil().max(1.0) as u64 }
@@ -297,7 +308,9 @@
     /// A call was answered. True: its lines hold; false: they are of another count, and only a whole list tells.
     pub fn answered(&mut self, now: f64, call: &Call, told: Told) -> bool {
         (self.due, self.last_move_due) = (None, None);
-        (self.unheard, self.again_at) = (false, None);
+        // The answer by which discovery is heard again shows of no watch that it is.
+        let returned = std::mem::replace(&mut self.unheard, false);
+        self.again_at = None;
         self.answered_call = self.answered_call.max(Some(call.number));
         let before = self.version;
         if !told.all && before.is_none_or(|version| told.version < version) {
@@ -315,6 +328,7 @@
         }
         // A watch that did not wait and brought nothing must not spin.
         let waits = matches!(call.ask, Ask::Changes { wait_ms, .. } if wait_ms as f64 > HASTY_MS);
+        self.proven = (self.proven + usize::from(waits && !returned)).min(WAITS_AFTER_TROUBLE_MS.len());
         if waits && before == Some(told.version) && now - call.begun < HASTY_MS {
             self.rest(now);
         } else {
@@ -379,6 +393,7 @@
     /// A call failed, or its time is over. True: the decisions pace what follows, and have to be told.
     pub fn failed(&mut self, now: f64, call: &Call) -> bool {
         let heard = !std::mem::replace(&mut self.unheard, true);
+        self.proven = 0;
         if let (Ask::Changes { wait_ms, .. }, None) = (call.ask, self.due)
             && heard
             && now - call.begun >= wait_ms as f64
