Log which call an answer is for, and when a node lets go of a backend

Change: backend.left names the backends that are used no more, eight a line; discovery.listed, failed and late carry the number of their call. A backend that is listed as draining and was not known takes no place any more.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -194,8 +194,18 @@
         }
         if !beside {
             let Listing { rev: version, all, entries, .. } = listing;
-            let after_ms = call.after_ms(now);
-            say!(INFO, "discovery", version, entries, all, after_ms, ?late, "discovery.late");
+            let (number, after_ms) = (call.number(), call.after_ms(now));
+            say!(
+                INFO,
+                "discovery",
+                version,
+                entries,
+                all,
+                after_ms,
+                call = number,
+                ?late,
+                "discovery.late"
+            );
             self.driver.answered_late();
         }
         match late {
@@ -219,8 +229,8 @@
         listing.tell_skipped();
         if listing.entries > 0 {
             let Listing { rev: version, all, entries, .. } = *listing;
-            let after_ms = call.after_ms(now);
-            say!(INFO, "discovery", version, entries, all, after_ms, "discovery.listed");
+            let (number, after_ms) = (call.number(), call.after_ms(now));
+            say!(INFO, "discovery", version, entries, all, after_ms, call = number, "discovery.listed");
         }
     }
 
@@ -324,8 +334,9 @@
         self.tries += u64::from(tries);
         if always || self.told_at.is_none_or(|at| now - at >= TELL_FAILED_MS) {
             self.told_at = Some(now);
-            let (after_ms, failed, tries) = (call.after_ms(now), self.calls, self.tries);
-            say!(WARN, "discovery", after_ms, reason, failed, tries, "discovery.failed");
+            let (number, after_ms) = (call.number(), call.after_ms(now));
+            let (failed, tries) = (self.calls, self.tries);
+            say!(WARN, "discovery", after_ms, reason, failed, tries, call = number, "discovery.failed");
         }
     }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -27,6 +27,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
@@ -295,8 +296,12 @@
     address: SocketAddr,
     up: bool,
     ready_at_ms: f64,
+    uid: Arc<str>,
 }
 
+/// Names of backends that are told in one line of the log; of more the count is.
+const NAMED_IN_LOG: usize = 8;
+
 struct Core {
     balancer: Balancer,
     stats: Stats,
@@ -1148,7 +1153,7 @@
                 place.up = false;
             }
         }
-        for Target { entry, address, .. } in targets {
+        for Target { entry, address, uid } in targets {
             let up = entry.health == Health::Up;
             match (self.places.get_mut(&entry.backend), address) {
                 (Some(place), address) => {
@@ -1157,20 +1162,29 @@
                         // What was connected to the old process or place is of no use.
                         upstream.release(entry.backend);
                     }
-                    *place = Place { address, up, ready_at_ms: entry.ready_at_ms };
+                    *place = Place { address, up, ready_at_ms: entry.ready_at_ms, uid: uid.clone() };
                 }
-                (None, Some(address)) => {
-                    let place = Place { address: *address, up, ready_at_ms: entry.ready_at_ms };
+                // Of one that is not up nothing has to be known.
+                (None, Some(address)) if up => {
+                    let place =
+                        Place { address: *address, up, ready_at_ms: entry.ready_at_ms, uid: uid.clone() };
                     self.places.insert(entry.backend, place);
                 }
-                (None, None) => {}
+                (None, _) => {}
             }
         }
+        let mut left = Vec::new();
         self.places.retain(|id, place| {
             if !place.up {
                 upstream.release(*id);
+                left.push(place.uid.clone());
             }
             place.up
         });
+        if !left.is_empty() {
+            left.sort();
+            let backends = left.iter().take(NAMED_IN_LOG).map(|uid| &**uid).collect::<Vec<_>>().join(",");
+            say!(INFO, "backend", count = left.len(), backends = backends.as_str(), "backend.left");
+        }
     }
 }
