--- a/src/control/asking.rs
+++ b/src/control/asking.rs
@@ -58,8 +58,8 @@
 /// Pauses between whole lists while some line cannot be read: doubled from the first to the last.
 const SPOILT_MS: f64 = 100.0;
 const LAST_SPOILT_MS: f64 = 20_000.0;
-/// So long the answer of a call is still read that was given up or replaced. After a move the first call gets half of
-/// [`MOVED_MS`], so that its answer counts up to the moment from which its news is notified anyway.
+/// So long the answer of a call is still read that was given up or replaced, in milliseconds. The first call after a move is given
+/// up after 2 s, so its answer counts up to the moment from which its news is notified anyway, 4 s after the move.
 pub const LATE_ANSWER_MS: f64 = 2000.0;
 /// A watch that brought no news sooner than this has not waited.
 const HASTY_MS: f64 = 50.0;
