Keep no connection to discovery on which the node has ended its sending

Found on reading the change again, not seen in a play: a replaced call that is answered after the node has ended its sending handed its connection back, and the next call could be made on it, where a discovery keeps its half open: that call fails, and the next may be paced.

Cause: make in src/node/discovery_calls.rs handed on whatever connection the exchange left. Change: none once the sending was ended.

Result: clippy clean; no test forces such a discovery.

--- a/src/node/discovery_calls.rs
+++ b/src/node/discovery_calls.rs
@@ -222,7 +222,12 @@
         // Nobody listens where the node is ending.
         let _ = progress.send(Progress::GivenUp(call));
     };
-    let answer = exchange_in_stages(at, &call, &resources, &mut conn, stage, given_up).await;
+    let (answer, sending_ended) =
+        exchange_in_stages(at, &call, &resources, &mut conn, stage, given_up).await;
+    if sending_ended {
+        // It can carry no further call.
+        conn = None;
+    }
     // What it takes to read a long answer is no lateness of discovery's.
     let compared = resources.seen.get();
     let answer = match answer {
@@ -233,7 +238,8 @@
     let _ = progress.send(Progress::Ended(Box::new(ended)));
 }
 
-/// One call and its answer, however late it comes: waited for, then read for a while, then to the end of the connection.
+/// One call and its answer, however late it comes: waited for, then read for a while, then to the end of the connection. True:
+/// the node has ended its sending there.
 async fn exchange_in_stages(
     at: SocketAddr,
     call: &Call,
@@ -241,25 +247,26 @@
     conn: &mut Option<Conn>,
     mut stage: watch::Receiver<Stage>,
     given_up: impl FnOnce(),
-) -> Result<Bytes, Box<dyn Error>> {
+) -> (Result<Bytes, Box<dyn Error>>, bool) {
     let socket = RefCell::new(None);
     let mut exchange = pin!(exchange(at, call, &resources.descriptors, conn, &socket));
     tokio::select! {
         biased;
-        text = exchange.as_mut() => return text,
+        text = exchange.as_mut() => return (text, false),
         () = reached(&mut stage, Stage::Replaced) => {}
         () = tokio::time::sleep(span(call.limit_ms)) => given_up(),
     }
     tokio::select! {
         biased;
-        text = exchange.as_mut() => return text,
+        text = exchange.as_mut() => return (text, false),
         () = reached(&mut stage, Stage::Ending) => {}
         () = tokio::time::sleep(span(LATE_ANSWER_MS)) => {}
     }
     let socket: Option<Socket> = socket.borrow_mut().take();
-    let Some(socket) = socket else { return Err("no connection came up".into()) };
+    let Some(socket) = socket else { return (Err("no connection came up".into()), false) };
     socket.end_sending();
-    tokio::time::timeout(LAST_READ, exchange).await.unwrap_or_else(|_| Err("deadline has elapsed".into()))
+    let text = tokio::time::timeout(LAST_READ, exchange).await;
+    (text.unwrap_or_else(|_| Err("deadline has elapsed".into())), true)
 }
 
 /// Waits until the call is in that stage, or in a later one.
