--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+CASE_ROOT=$(cd ../.. && pwd)
+CASE_RECORD=$PWD/record.txt
+CASE_TMP=$(mktemp -d) || exit 2
+export CASE_ROOT CASE_RECORD CASE_TMP
+for program in review/case-3 release/daleturn-node release/daleturn; do
+    [ -x "$CASE_ROOT/target/$program" ] || { echo "target/$program is not built" >&2; rm -rf "$CASE_TMP"; exit 2; }
+done
+# The program below ends all processes that it starts, and itself after 112 s at the latest.
+"$CASE_ROOT/target/review/case-3"
+code=$?
+[ -n "${KEEP_LOGS:-}" ] && echo "logs: $CASE_TMP" || rm -rf "$CASE_TMP"
+case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
