Review: end all processes of a case also when its script is stopped early

Cause: the script had no trap, and nothing ended the case's program and the nodes when their parent was ended; a TERM to the script left both running.

--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock};
@@ -78,6 +79,17 @@
     let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+    fn getppid() -> i32;
+}
+
+/// Has the system kill this process when its parent ends, however that ends (PR_SET_PDEATHSIG 1, SIGKILL 9). Returns
+/// false if the parent, `expected`, has ended already.
+fn end_with_parent(expected: i32) -> bool {
+    unsafe { prctl(1, 9) == 0 && getppid() == expected }
+}
+
 /// Ends all processes and the case with this exit code.
 pub fn finish(code: i32) -> ! {
     for pid in lock(pids()).drain(..) {
@@ -95,6 +107,10 @@
 /// Starts the clock of the case, and ends it as one that could not run if it takes too long.
 pub fn begin() {
     record();
+    let script = std::env::var("CASE_SCRIPT").ok().and_then(|p| p.parse().ok()).expect("CASE_SCRIPT");
+    if !end_with_parent(script) {
+        cannot_run("the script has ended");
+    }
     std::panic::set_hook(Box::new(|info| {
         eprintln!("{info}");
         cannot_run(&format!("a stand-in failed: {info}"));
@@ -390,6 +406,11 @@
         for (name, value) in env {
             c.env(name, value);
         }
+        // Started by the main thread, which lives as long as the case does.
+        let own = std::process::id() as i32;
+        let end_with_case =
+            move || if end_with_parent(own) { Ok(()) } else { Err(std::io::Error::other("the case has ended")) };
+        unsafe { c.pre_exec(end_with_case) };
         let child = c.spawn().expect("cannot start a process");
         lock(pids()).push(child.id());
         record().line(&format!("{what} started, process {}", child.id()));
