Time a long request from the arrival of its last byte, not from its forwarding

Cause: both clocks of a long request, `AttemptSpec::response_timeout` and `PendingResponse::wait`, waited for `Upload::finished`, the moment in which the backend has taken the last byte. A backend that no longer reads stops the forwarding, so that moment never came, while the rest of the body lay in the receive buffer of the client's socket. Nothing else ended the request but the check for stalled transfers, which closes in silence. A backend that reads slowly put the deadline off in the same way, without standing still.

Change: `BodyArrival` finds out when the last byte has arrived, read or not. The position within the request is known from `Framing`; the bytes not read come from FIONREAD. With a known length that is exact, to 50 ms. Of a chunked body the end is not known before it is read: while bytes lie unread, the last moment in which their number grew counts. A client that still writes keeps its time, since its body has not arrived. Both clocks count from that arrival.

Evidence: `a_whole_long_request_is_answered_in_time_if_its_backend_stops_reading` failed before the change ("a response to a request that has arrived whole", none within 10 s) and passes now; `a_slow_client_keeps_its_time_while_its_backend_pauses` holds the other side. Ruled out: the backend's or the attempt's own time-out (armed, never due), and the kernel's queues (no byte unacknowledged when the time passed).

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -1,5 +1,6 @@
 //! Streaming of long request and response bodies.
 
+use crate::body_arrival::BodyArrival;
 use crate::transfer_slots::TransferSlot;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -46,12 +47,13 @@
     is_too_long: Cell<bool>,
     finished: Cell<Option<Instant>>,
     finished_notify: Notify,
+    arrival: BodyArrival,
     _slot: TransferSlot,
 }
 
 impl Upload {
     /// Wraps the rest of a body whose first `first` bytes have been read.
-    pub fn new(rest: Incoming, first: usize, slot: TransferSlot) -> Rc<Upload> {
+    pub fn new(rest: Incoming, first: usize, arrival: BodyArrival, slot: TransferSlot) -> Rc<Upload> {
         let length = rest.size_hint().exact().map(|left| left + first as u64);
         Rc::new(Upload {
             rest: RefCell::new(Some(rest)),
@@ -61,6 +63,7 @@
             is_too_long: Cell::new(false),
             finished: Cell::new(None),
             finished_notify: Notify::new(),
+            arrival,
             _slot: slot,
         })
     }
@@ -80,6 +83,11 @@
         self.is_too_long.get()
     }
 
+    /// Returns the arrival of the body at this machine, from which the request is timed.
+    pub fn arrival(&self) -> &BodyArrival {
+        &self.arrival
+    }
+
     /// Returns when the last byte was forwarded, if it was.
     pub fn finished_at(&self) -> Option<Instant> {
         self.finished.get()
@@ -87,6 +95,7 @@
 
     fn finish(&self) {
         self.finished.set(Some(Instant::now()));
+        self.arrival.complete();
         self.finished_notify.notify_waiters();
     }
 
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -100,7 +100,7 @@
     driver: Rc<Driver>,
     id: RequestId,
     answer: oneshot::Receiver<Answer>,
-    /// Set for a streamed request: its deadline is counted from its last byte.
+    /// Set for a streamed request: its deadline is counted from the arrival of its last byte.
     upload: Option<Rc<Upload>>,
     from: Instant,
     wait: Duration,
@@ -111,11 +111,10 @@
     /// still in flight.
     pub async fn wait(mut self) -> Answer {
         let expired = async {
-            let from = match &self.upload {
-                Some(upload) => upload.finished().await,
-                None => self.from,
-            };
-            tokio::time::sleep_until((from + self.wait).into()).await;
+            match &self.upload {
+                Some(upload) => upload.arrival().passed(self.wait, self.from).await,
+                None => tokio::time::sleep_until((self.from + self.wait).into()).await,
+            }
         };
         tokio::select! {
             biased;
--- a/src/node/framing.rs
+++ b/src/node/framing.rs
@@ -27,6 +27,8 @@
     chunked: bool,
     length: Option<u64>,
     has_conflict: bool,
+    /// Number of requests that have ended.
+    completed: u64,
 }
 
 impl Framing {
@@ -39,6 +41,21 @@
             chunked: false,
             length: None,
             has_conflict: false,
+            completed: 0,
+        }
+    }
+
+    /// Returns the number of requests that have ended, which is the number of the request to which the next
+    /// byte belongs.
+    pub fn completed_requests(&self) -> u64 {
+        self.completed
+    }
+
+    /// Returns the number of bytes that the current body still lacks, if its length was announced.
+    pub fn missing_body_bytes(&self) -> Option<u64> {
+        match self.at {
+            Position::Body(left) => Some(left),
+            Position::Head | Position::ChunkSize | Position::Chunk(_) | Position::Trailer => None,
         }
     }
 
@@ -56,11 +73,11 @@
                 let is_consumed = *left == 0;
                 bytes = &bytes[n..];
                 if is_consumed {
-                    self.at = if matches!(self.at, Position::Body(_)) {
-                        Position::Head
+                    if matches!(self.at, Position::Body(_)) {
+                        self.finish_request();
                     } else {
-                        Position::ChunkSize
-                    };
+                        self.at = Position::ChunkSize;
+                    }
                 }
                 continue;
             }
@@ -78,6 +95,12 @@
         }
     }
 
+    /// Starts over with the head of the next request.
+    fn finish_request(&mut self) {
+        self.at = Position::Head;
+        self.completed += 1;
+    }
+
     /// Processes the end of a line.
     fn finish_line(&mut self) {
         let line = self.line.trim_ascii();
@@ -85,11 +108,11 @@
             Position::Head if line.is_empty() && !self.has_line => {}
             Position::Head if line.is_empty() => {
                 self.has_conflict = self.chunked && self.length.is_some();
-                self.at = match self.length {
-                    _ if self.chunked => Position::ChunkSize,
-                    Some(length) if length > 0 => Position::Body(length),
-                    _ => Position::Head,
-                };
+                match self.length {
+                    _ if self.chunked => self.at = Position::ChunkSize,
+                    Some(length) if length > 0 => self.at = Position::Body(length),
+                    _ => self.finish_request(),
+                }
                 (self.has_line, self.chunked, self.length) = (false, false, None);
             }
             Position::Head => {
@@ -112,7 +135,7 @@
                     Some(size) => Position::Chunk(size.saturating_add(2)),
                 };
             }
-            Position::Trailer if line.is_empty() => self.at = Position::Head,
+            Position::Trailer if line.is_empty() => self.finish_request(),
             Position::Trailer | Position::Body(_) | Position::Chunk(_) => {}
         }
     }
@@ -155,6 +178,20 @@
         }
     }
 
+    #[test]
+    fn requests_are_counted_when_their_last_byte_is_processed() {
+        for (bytes, is_chunked) in [(CHUNKED, true), (PLAIN, false)] {
+            let mut framing = Framing::new();
+            framing.process(b"GET / HTTP/1.1\r\n\r\n");
+            assert_eq!(framing.completed_requests(), 1);
+            framing.process(&bytes[..bytes.len() - 1]);
+            assert_eq!(framing.completed_requests(), 1);
+            assert_eq!(framing.missing_body_bytes(), (!is_chunked).then_some(1));
+            framing.process(&bytes[bytes.len() - 1..]);
+            assert_eq!((framing.completed_requests(), framing.missing_body_bytes()), (2, None));
+        }
+    }
+
     #[test]
     fn malformed_input_does_not_panic() {
         has_conflict(&[0xff; 5000]);
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -2,6 +2,7 @@
 
 mod active_settings;
 mod body;
+mod body_arrival;
 mod discovery;
 mod discovery_calls;
 mod driver;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -2,6 +2,7 @@
 
 use crate::active_settings::{ActiveSettings, CurrentSettings};
 use crate::body::{MAX_BODY_BYTES, StreamedResponse, Upload, discard_body};
+use crate::body_arrival::BodyArrival;
 use crate::driver::{Answer, Driver};
 use crate::log::log_event;
 use crate::socket::{DescriptorSlot, Descriptors, Socket};
@@ -643,12 +644,14 @@
             .and_then(|v| v.trim().parse::<u64>().ok())
             .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
             .min(MAX_CLIENT_WAIT);
+        let request_number = client.socket.request_number();
         let (body, upload) = match read_body(client, arrived, body).await {
             BodyRead::Complete(body) => (body, None),
             BodyRead::Long(first, rest) => match self.upstream.transfer_slots.take(SLOT_TIMEOUT).await {
                 Some(slot) => {
                     let length = first.len();
-                    (first, Some(Upload::new(rest, length, slot)))
+                    let arrival = BodyArrival::new(client.socket.clone(), request_number);
+                    (first, Some(Upload::new(rest, length, arrival, slot)))
                 }
                 None => {
                     self.driver.count_early_refusal(active.names.class_name(class));
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -129,6 +129,20 @@
     _slot: DescriptorSlot,
 }
 
+/// How much of a request's body has reached this machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyProgress {
+    /// At least one byte is missing.
+    Incomplete,
+    /// All of it has arrived.
+    Complete,
+    /// Its end may be among the bytes that were not read yet.
+    Unknown {
+        /// Number of bytes received on the connection, read or not.
+        received: u64,
+    },
+}
+
 /// TCP socket that counts its traffic. Clones share the socket, which closes with the last of them.
 #[derive(Clone)]
 pub struct Socket(Rc<Inner>);
@@ -171,6 +185,36 @@
         self.0.framing.as_ref().is_some_and(|f| f.borrow().has_conflict())
     }
 
+    /// Returns the number of the request that is being read, counted from 0.
+    pub fn request_number(&self) -> u64 {
+        self.0.framing.as_ref().map_or(0, |f| f.borrow().completed_requests())
+    }
+
+    /// Returns how much of the body of the request with this number has arrived, including what was not read
+    /// yet.
+    pub fn body_progress(&self, request_number: u64) -> BodyProgress {
+        if self.request_number() > request_number {
+            return BodyProgress::Complete;
+        }
+        // What was read does not contain the end.
+        if self.is_quiet() {
+            return BodyProgress::Incomplete;
+        }
+        let missing = self.0.framing.as_ref().and_then(|f| f.borrow().missing_body_bytes());
+        match (missing, self.unread_bytes()) {
+            (Some(missing), Ok(unread)) if unread >= missing => BodyProgress::Complete,
+            (Some(_), Ok(_)) => BodyProgress::Incomplete,
+            (None, Ok(unread)) => BodyProgress::Unknown { received: self.bytes_read() + unread },
+            (_, Err(_)) => BodyProgress::Unknown { received: self.bytes_read() },
+        }
+    }
+
+    /// Returns the number of bytes that were received and not consumed.
+    fn unread_bytes(&self) -> io::Result<u64> {
+        let queued = rustix::io::ioctl_fionread(&self.0.stream)?;
+        Ok(queued + self.0.ahead.borrow().len() as u64)
+    }
+
     /// Returns the number of bytes written.
     pub fn bytes_written(&self) -> u64 {
         self.0.written.get()
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -232,7 +232,7 @@
     pub address: SocketAddr,
     /// Request to send.
     pub forwarded: Rc<ForwardedRequest>,
-    /// Timeout of the attempt, from its start or, for a streamed request, from its last byte.
+    /// Timeout of the attempt, from its start or, for a streamed request, from the arrival of its last byte.
     pub timeout: Duration,
 }
 
@@ -244,11 +244,10 @@
 
     /// Completes when the timeout for the response expires.
     async fn response_timeout(&self, started_at: Instant) {
-        let from = match &self.forwarded.upload {
-            Some(upload) => upload.finished().await,
-            None => started_at,
-        };
-        tokio::time::sleep_until((from + self.timeout).into()).await;
+        match &self.forwarded.upload {
+            Some(upload) => upload.arrival().passed(self.timeout, started_at).await,
+            None => tokio::time::sleep_until((started_at + self.timeout).into()).await,
+        }
     }
 }
 
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -54,6 +54,29 @@
     })
 }
 
+/// Returns the lines of `/proc/net/tcp` for sockets with these addresses, split into fields.
+fn tcp_sockets(local: SocketAddr, remote: SocketAddr) -> Vec<Vec<String>> {
+    let field = |address: SocketAddr| match address {
+        SocketAddr::V4(a) => format!("{:08X}:{:04X}", u32::from_le_bytes(a.ip().octets()), a.port()),
+        SocketAddr::V6(a) => panic!("{a}: the tests use IPv4 alone"),
+    };
+    let (local, remote) = (field(local), field(remote));
+    let sockets = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let lines = sockets.lines().map(|l| l.split_whitespace().map(str::to_owned).collect::<Vec<_>>());
+    lines.filter(|fields| fields.len() > 4 && fields[1] == local && fields[2] == remote).collect()
+}
+
+/// True if a connection between these addresses is established.
+pub fn has_tcp_connection(local: SocketAddr, remote: SocketAddr) -> bool {
+    const ESTABLISHED: &str = "01";
+    tcp_sockets(local, remote).iter().any(|fields| fields[3] == ESTABLISHED)
+}
+
+/// True if a socket with these addresses has sent bytes that the other side's kernel has not acknowledged.
+pub fn has_unacknowledged_bytes(local: SocketAddr, remote: SocketAddr) -> bool {
+    tcp_sockets(local, remote).iter().any(|fields| !fields[4].starts_with("00000000:"))
+}
+
 /// Returns an address that nothing listens on, in a part of the loopback network that only this process uses.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
