Answer a long request that stands still instead of closing it in silence

Callers saw: a long request whose client or backend moved less than 16 KiB in 15 s was cut without an answer, whoever was at fault. Where the settings forbid to cancel attempts (`mayCancel`), the attempt at a backend that no longer read stayed for good, with its connection and its transfer slot.

Cause: one clock on the client's connection for both sides, which could only close, and none on the attempt.

Change: each side has its own. `backend_stopped` ends an attempt whose backend takes less than 16 KiB in 15 s although the node has more for it; it has not run, so the client gets 503. `Upload::client_stopped` counts only the time for which the client is waited for: 2.8 s, and 1 s for each 32 kB that it writes as for short bodies, 15 s at most; it gets 408. The send buffer to a backend is limited to 256 KiB as it is to clients: with megabytes in it a backend that reads 64 kB/s looks stopped, since a socket is writable only when a third of it is free.

Evidence: `a_request_that_cannot_arrive_is_refused_if_its_backend_stops_reading` and `a_client_that_stops_within_a_long_body_gets_an_error` failed on the code before ("a response", "an error": the connection was closed), both pass now.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -11,11 +11,25 @@
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 use thiserror::Error;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
+
+/// Base timeout for reading a body, from its header or, for a connection's first request, from the accept.
+pub const BODY_BASE_TIMEOUT: Duration = Duration::from_millis(2800);
+/// Each byte received extends the timeout at this rate: half of the minimum rate required of clients.
+const BODY_BYTES_PER_S: u64 = 32_000;
+/// Maximum time for which a streamed body may wait for its client, however much the client has written.
+const MAX_CLIENT_PAUSE: Duration = Duration::from_secs(15);
+/// Interval of the checks for clients that have stopped.
+const CLIENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum size of a request body in bytes.
 pub const MAX_BODY_BYTES: u64 = 32 * 1024 * 1024;
 
+/// Returns the time in which a client has to write this many bytes of a body.
+pub fn body_transfer_time(bytes: u64) -> Duration {
+    Duration::from_millis(bytes * 1000 / BODY_BYTES_PER_S)
+}
+
 /// Piece of a streamed response.
 #[derive(Debug)]
 pub enum Piece {
@@ -46,8 +60,12 @@
     is_aborted: Cell<bool>,
     is_too_long: Cell<bool>,
     finished: Cell<Option<Instant>>,
-    finished_notify: Notify,
     arrival: BodyArrival,
+    /// Since when an attempt waits for the client to write more; `None` while it waits for nothing, or for
+    /// the backend.
+    client_awaited_since: Cell<Option<Instant>>,
+    /// Time for which the client may still be waited for.
+    client_time: Cell<Duration>,
     _slot: TransferSlot,
 }
 
@@ -62,8 +80,9 @@
             is_aborted: Cell::new(false),
             is_too_long: Cell::new(false),
             finished: Cell::new(None),
-            finished_notify: Notify::new(),
             arrival,
+            client_awaited_since: Cell::new(None),
+            client_time: Cell::new(BODY_BASE_TIMEOUT + body_transfer_time(first as u64)),
             _slot: slot,
         })
     }
@@ -96,20 +115,35 @@
     fn finish(&self) {
         self.finished.set(Some(Instant::now()));
         self.arrival.complete();
-        self.finished_notify.notify_waiters();
     }
 
-    /// Waits until the last byte has been forwarded and returns that time.
-    pub async fn finished(&self) -> Instant {
-        loop {
-            let finished_notify = self.finished_notify.notified();
-            if let Some(at) = self.finished.get() {
-                return at;
-            }
-            finished_notify.await;
+    /// True while an attempt waits for the client to write more.
+    pub fn awaits_client(&self) -> bool {
+        self.client_awaited_since.get().is_some()
+    }
+
+    /// Completes once the client has used up its time for writing the body. Only the time counts for which it
+    /// is waited for, and what it writes extends it.
+    pub async fn client_stopped(&self) {
+        let is_over = |since: Instant| since.elapsed() > self.client_time.get();
+        while !self.client_awaited_since.get().is_some_and(is_over) {
+            tokio::time::sleep(CLIENT_CHECK_INTERVAL).await;
         }
     }
 
+    /// Records that an attempt has to wait for the client.
+    fn await_client(&self) {
+        let since = self.client_awaited_since.get().unwrap_or_else(Instant::now);
+        self.client_awaited_since.set(Some(since));
+    }
+
+    /// Records that the client has written more, or that nothing is expected of it any more.
+    fn client_wrote(&self, bytes: usize) {
+        let waited = self.client_awaited_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+        let left = self.client_time.get().saturating_sub(waited) + body_transfer_time(bytes as u64);
+        self.client_time.set(left.min(MAX_CLIENT_PAUSE));
+    }
+
     /// Takes the part that has not been read.
     pub fn take_rest(&self) -> Option<Incoming> {
         self.rest.borrow_mut().take()
@@ -153,6 +187,7 @@
         if let (Some(upload), Some(rest)) = (&self.upload, self.rest.take()) {
             // The client may still be sending, so the rest has to be read.
             upload.rest.replace(Some(rest));
+            upload.client_wrote(0);
         }
     }
 }
@@ -179,7 +214,13 @@
         }
         let Some(rest) = &mut self.rest else { return Poll::Ready(Some(Err(BodyError::Aborted))) };
         loop {
-            match ready!(Pin::new(&mut *rest).poll_frame(cx)) {
+            let polled = Pin::new(&mut *rest).poll_frame(cx);
+            match &polled {
+                Poll::Pending => upload.await_client(),
+                Poll::Ready(Some(Ok(frame))) => upload.client_wrote(frame.data_ref().map_or(0, Bytes::len)),
+                Poll::Ready(_) => upload.client_wrote(0),
+            }
+            match ready!(polled) {
                 None => {
                     upload.finish();
                     return Poll::Ready(None);
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -18,6 +18,7 @@
 mod sharing;
 mod socket;
 mod stats;
+mod transfer_progress;
 mod transfer_slots;
 mod upstream;
 mod zoning;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,11 +1,14 @@
 //! Client side of the node: connections, requests and responses.
 
 use crate::active_settings::{ActiveSettings, CurrentSettings};
-use crate::body::{MAX_BODY_BYTES, StreamedResponse, Upload, discard_body};
+use crate::body::{
+    BODY_BASE_TIMEOUT, MAX_BODY_BYTES, StreamedResponse, Upload, body_transfer_time, discard_body,
+};
 use crate::body_arrival::BodyArrival;
 use crate::driver::{Answer, Driver};
 use crate::log::log_event;
 use crate::socket::{DescriptorSlot, Descriptors, Socket};
+use crate::transfer_progress::TransferProgress;
 use crate::upstream::{
     BackendBody, BackendResponse, EXPIRES_HEADER, ForwardedRequest, MAX_BUFFER_BYTES,
     MAX_BUFFERED_BODY_BYTES, Upstream,
@@ -53,17 +56,10 @@
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after a connection's last response for the client to read it and to close its end.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Base timeout for reading a body, from its header or, for a connection's first request, from the accept.
-const BODY_BASE_TIMEOUT: Duration = Duration::from_millis(2800);
-/// Each byte received extends the timeout at this rate: half of the minimum rate required of clients.
-const BODY_BYTES_PER_S: u64 = 32_000;
 /// Time for discarding the rest of an unwanted long body, so that its client gets to read the response.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(4500);
 /// Time that a long body waits for a transfer slot before its request is refused.
 const SLOT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// A streamed transfer has stalled if it moves less than `STALL_BYTES` in this time.
-const STALL_WINDOW: Duration = Duration::from_secs(15);
-const STALL_BYTES: u64 = 16 * 1024;
 /// Send buffer of the operating system for a streamed response. With a larger one, a slow client would look
 /// like a stalled one.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
@@ -112,8 +108,8 @@
     read_at_idle: Cell<u64>,
     /// When the connection was first seen with a partially read request header.
     stuck_since: Cell<Option<Instant>>,
-    /// During a streamed transfer: the bytes moved at the last progress check, and when that was.
-    transfer_progress: Cell<Option<(u64, Instant)>>,
+    /// Progress of the streamed response, if there is one.
+    response_progress: Cell<Option<TransferProgress>>,
     close: Notify,
 }
 
@@ -148,8 +144,8 @@
         self.is_busy.get() && self.socket.is_peer_closed()
     }
 
-    /// True if the client has not sent a request, the rest of one, or transfer progress within its time
-    /// limit.
+    /// True if the client has not sent a request or the rest of its head, or has not taken enough of a
+    /// streamed response, within its time limit.
     fn is_overdue(&self) -> bool {
         let silent = !self.has_responded.get()
             && !self.is_busy.get()
@@ -157,27 +153,24 @@
         silent || self.is_stuck(FIRST_HEADER_TIMEOUT) || self.is_stalled()
     }
 
-    /// True if a streamed transfer makes no progress.
+    /// True if a streamed response makes no progress.
     fn is_stalled(&self) -> bool {
-        let Some((before, at)) = self.transfer_progress.get() else { return false };
-        let now = self.socket.bytes_read() + self.socket.bytes_written();
-        if now >= before + STALL_BYTES {
-            self.transfer_progress.set(Some((now, Instant::now())));
-            return false;
-        }
-        at.elapsed() > STALL_WINDOW
+        let Some(mut progress) = self.response_progress.get() else { return false };
+        let has_stalled = progress.has_stalled(self.socket.bytes_written());
+        self.response_progress.set(Some(progress));
+        has_stalled
     }
 
-    /// Marks the start of a streamed transfer.
-    fn start_transfer(&self) {
-        self.transfer_progress.set(Some((0, Instant::now())));
+    /// Marks the start of a streamed response.
+    fn start_response(&self) {
+        self.response_progress.set(Some(TransferProgress::new(self.socket.bytes_written())));
     }
 
     /// Returns the deadline for the rest of a body of which `read` bytes have arrived, for a header that
     /// arrived at `arrived`.
     fn body_deadline(&self, arrived: Instant, read: u64) -> Instant {
         let from = if self.has_responded.get() { arrived } else { self.accepted_at };
-        from + BODY_BASE_TIMEOUT + Duration::from_millis(read * 1000 / BODY_BYTES_PER_S)
+        from + BODY_BASE_TIMEOUT + body_transfer_time(read)
     }
 }
 
@@ -196,7 +189,7 @@
     fn drop(&mut self) {
         self.0.is_busy.set(false);
         self.0.is_request_complete.set(false);
-        self.0.transfer_progress.set(None);
+        self.0.response_progress.set(None);
         self.0.has_responded.set(true);
         self.0.idle_since.set(Instant::now());
         self.0.read_at_idle.set(self.0.socket.bytes_read());
@@ -462,7 +455,7 @@
             idle_since: Cell::new(Instant::now()),
             read_at_idle: Cell::new(0),
             stuck_since: Cell::new(None),
-            transfer_progress: Cell::new(None),
+            response_progress: Cell::new(None),
             close: Notify::new(),
         });
         let number = self.next_client_number.get();
@@ -562,10 +555,7 @@
         ParsedRequest { request, active, forwarded, arrived, wait }: ParsedRequest,
     ) -> Response<ClientBody> {
         let upload = forwarded.upload.clone();
-        match upload {
-            Some(_) => busy.0.start_transfer(),
-            None => busy.0.is_request_complete.set(true),
-        }
+        busy.0.is_request_complete.set(upload.is_none());
         let is_full = self.driver.open_requests() >= active.settings.open_cap as usize;
         let answer = if is_full || self.mode.get() == Mode::Ended {
             self.driver.count_early_refusal(active.names.class_name(request.class));
@@ -574,18 +564,16 @@
             let margin = DEADLINE_MARGIN - FINAL_MARGIN;
             let wait = wait.saturating_sub(FINAL_MARGIN);
             let pending = self.driver.submit(request, active, forwarded, arrived, wait, margin);
-            let sent = async {
-                if let Some(upload) = &upload {
-                    upload.finished().await;
-                    // The client has sent everything and waits for the backend, so there is no progress to
-                    // check.
-                    busy.0.transfer_progress.set(None);
+            let client_stopped = async {
+                match &upload {
+                    Some(upload) => upload.client_stopped().await,
+                    None => std::future::pending().await,
                 }
-                std::future::pending().await
             };
             tokio::select! {
+                biased;
                 answer = pending.wait() => answer,
-                never = sent => never,
+                () = client_stopped => return body_timeout_response(),
             }
         };
         // The rest of a finished request's body must be read, or its client may not see the response.
@@ -597,7 +585,7 @@
                 body: BackendBody::Streamed { length, pieces },
                 content_type,
             }) => {
-                busy.0.start_transfer();
+                busy.0.start_response();
                 busy.0.socket.limit_send_buffer(SEND_BUFFER_BYTES);
                 let client = busy.0.clone();
                 let on_truncated = Box::new(move || client.socket.reset_on_close());
@@ -667,10 +655,7 @@
                 return Err(closing_response(StatusCode::BAD_REQUEST, "the body cannot be read\n"));
             }
             BodyRead::TooSlow => {
-                return Err(closing_response(
-                    StatusCode::REQUEST_TIMEOUT,
-                    "the body did not come in time\n",
-                ));
+                return Err(body_timeout_response());
             }
         };
         // The deadline counts from the last byte of the request; a streamed one has not ended yet.
@@ -789,6 +774,11 @@
     response
 }
 
+/// Returns the response to a client that writes its body too slowly or not at all.
+fn body_timeout_response() -> Response<ClientBody> {
+    closing_response(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")
+}
+
 /// Adds a `Content-Type` header, if there is one, to a response.
 fn with_content_type(
     mut response: Response<ClientBody>,
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -1,6 +1,7 @@
 //! TCP sockets that count their traffic, and the limit on the number of descriptors in use.
 
 use crate::framing::Framing;
+use crate::log::log_event;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -205,7 +206,10 @@
             (Some(missing), Ok(unread)) if unread >= missing => BodyProgress::Complete,
             (Some(_), Ok(_)) => BodyProgress::Incomplete,
             (None, Ok(unread)) => BodyProgress::Unknown { received: self.bytes_read() + unread },
-            (_, Err(_)) => BodyProgress::Unknown { received: self.bytes_read() },
+            (_, Err(e)) => {
+                log_event!(WARN, "clients", reason = e.to_string().as_str(), "clients.unread_unknown");
+                BodyProgress::Unknown { received: self.bytes_read() }
+            }
         }
     }
 
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -7,6 +7,7 @@
 
 use crate::body::{Piece, RequestBody, Upload};
 use crate::socket::{DescriptorSlot, Descriptors, Socket};
+use crate::transfer_progress::TransferProgress;
 use crate::transfer_slots::TransferSlots;
 use bytes::{Bytes, BytesMut};
 use daleturn::interface::{BackendId, Load, Outcome};
@@ -53,6 +54,11 @@
 /// late: on an idle connection it is noticed, on one that is reused at once it would be taken for the
 /// response to the next request.
 const MIN_IDLE_BEFORE_REUSE: Duration = Duration::from_millis(20);
+/// Interval of the checks whether a backend still takes a streamed request.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Send buffer of the operating system for a streamed request. With a larger one, a backend that reads slowly
+/// would look like one that has stopped.
+const UPLOAD_SEND_BUFFER_BYTES: usize = 256 * 1024;
 /// Time after which a probe, including its connect, counts as timed out.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -251,6 +257,19 @@
     }
 }
 
+/// Completes once the backend on `socket` no longer takes a streamed request that the node has more of.
+async fn backend_stopped(upload: &Upload, socket: &Socket) {
+    let mut progress = TransferProgress::new(socket.bytes_written());
+    loop {
+        tokio::time::sleep(STALL_CHECK_INTERVAL).await;
+        if upload.awaits_client() || upload.finished_at().is_some() {
+            progress = TransferProgress::new(socket.bytes_written());
+        } else if progress.has_stalled(socket.bytes_written()) {
+            return;
+        }
+    }
+}
+
 /// Pool of connections to backends.
 pub struct Upstream {
     idle: RefCell<HashMap<BackendId, Vec<Idle>>>,
@@ -413,6 +432,16 @@
             None => conn.socket.bytes_written() == written,
         };
         let mut timeout = pin!(spec.response_timeout(started_at));
+        let socket = conn.socket();
+        let backend_stopped = async {
+            match &spec.forwarded.upload {
+                Some(upload) => {
+                    socket.limit_send_buffer(UPLOAD_SEND_BUFFER_BYTES);
+                    backend_stopped(upload, &socket).await;
+                }
+                None => std::future::pending().await,
+            }
+        };
         let exchange = async {
             let (head, mut body) = conn.send_request(request).await?.into_parts();
             if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
@@ -433,6 +462,8 @@
                 let outcome = if never_ran(&conn) { Outcome::NotConnected } else { Outcome::TimedOut };
                 return (outcome.into(), None);
             }
+            // It does not have the last byte, so it cannot have processed the request.
+            () = backend_stopped => return (Outcome::NotConnected.into(), None),
         };
         let took = spec.forwarded.upload.as_ref().and_then(|u| u.finished_at()).map(|at| at.elapsed());
         let (head, first) = match http_response {
--- a/tests/node_stalls.rs
+++ b/tests/node_stalls.rs
@@ -4,6 +4,7 @@
 
 use node::*;
 use socket2::{Domain, Socket, Type};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
@@ -13,11 +14,6 @@
 /// Lateness after which a response counts as lost: half a second, and the 50 ms by which each limit is longer on
 /// sockets.
 const MAX_LATENESS: Duration = Duration::from_millis(550);
-/// Length of a body that fits into the buffers between a client and a backend that reads nothing, but not into those
-/// behind the node alone.
-const BODY_BYTES: usize = 225_000;
-/// Maximum segment size of the node's connections to a `PausedBackend`, which keeps their send buffers small.
-const SEGMENT_BYTES: u32 = 1_400;
 /// Receive buffer of a `PausedBackend`, before the kernel doubles it.
 const RECEIVE_BUFFER_BYTES: usize = 8_192;
 
@@ -31,7 +27,6 @@
 impl PausedBackend {
     fn start() -> PausedBackend {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.set_tcp_mss(SEGMENT_BYTES).unwrap();
         socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
         socket.bind(&loopback(0).into()).unwrap();
         socket.listen(64).unwrap();
@@ -68,10 +63,10 @@
         }
         thread::sleep(Duration::from_millis(2));
     }
-    let mut reader = std::io::BufReader::new(stream.try_clone().unwrap());
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
     while let Some(message) = Message::read(&mut reader) {
         traffic.requests.lock().unwrap().push(message);
-        let _ = std::io::Write::write_all(&mut stream, &http_response("200 OK", "", b"done"));
+        let _ = stream.write_all(&http_response("200 OK", "", b"done"));
     }
 }
 
@@ -90,23 +85,81 @@
     .into_bytes()
 }
 
-/// Returns the two framings of a body of zeros, each as its header and its bytes.
-fn framings(length: usize) -> [(String, Vec<u8>); 2] {
-    let mut chunks = format!("{length:x}\r\n").into_bytes();
-    chunks.resize(chunks.len() + length, 0);
-    chunks.extend_from_slice(b"\r\n0\r\n\r\n");
-    [
-        (format!("Content-Length: {length}"), vec![0; length]),
-        ("Transfer-Encoding: chunked".to_owned(), chunks),
-    ]
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunks,
 }
 
-/// Sends all bytes and waits until the kernel of the node's machine has acknowledged them.
-fn send_and_wait_for_arrival(client: &mut Client, bytes: &[u8]) -> Instant {
-    assert!(client.send(bytes));
-    let (local, remote) = (client.stream.local_addr().unwrap(), client.stream.peer_addr().unwrap());
-    wait_for("the node's machine has the last byte", || !has_unacknowledged_bytes(local, remote));
-    Instant::now()
+impl Framing {
+    const ALL: [Framing; 2] = [Framing::Length, Framing::Chunks];
+
+    /// Returns the header for a body of zeros, and the bytes that follow the head.
+    fn encode(self, length: usize) -> (String, Vec<u8>) {
+        match self {
+            Framing::Length => (format!("Content-Length: {length}"), vec![0; length]),
+            Framing::Chunks => {
+                let mut chunks = format!("{length:x}\r\n").into_bytes();
+                chunks.resize(chunks.len() + length, 0);
+                chunks.extend_from_slice(b"\r\n0\r\n\r\n");
+                ("Transfer-Encoding: chunked".to_owned(), chunks)
+            }
+        }
+    }
+}
+
+/// A request that its backend's pause keeps in the node's receive buffer.
+struct HeldUpload {
+    client: Client,
+    /// Length of the whole body.
+    length: usize,
+    /// End of what is sent of the body, not sent yet.
+    tail: Vec<u8>,
+    /// When all but the tail had reached the node's machine.
+    arrived_at: Instant,
+}
+
+/// Sends a request to a node whose backend is paused, all but the last `tail_bytes` bytes. How much the buffers behind
+/// the node take is up to the kernel, so the body gets longer until its end is not read any more.
+fn hold_upload(node: &Node, expires_ms: u64, framing: Framing, tail_bytes: usize) -> HeldUpload {
+    const SHORTEST_BYTES: usize = 300_000;
+    const LONGEST_BYTES: usize = 8_000_000;
+    const STEP_BYTES: usize = 32_000;
+    for sent_bytes in (SHORTEST_BYTES..LONGEST_BYTES).step_by(STEP_BYTES) {
+        let length = sent_bytes + tail_bytes;
+        let (header, body) = framing.encode(length);
+        let (start, tail) = body.split_at(body.len() - tail_bytes);
+        let mut client = Client::connect(node.address);
+        let (local, remote) = (client.stream.local_addr().unwrap(), client.stream.peer_addr().unwrap());
+        assert!(client.send(&upload_head("bid", expires_ms, &header)) && client.send(start));
+        wait_for("the node's machine has the bytes", || !has_unacknowledged_bytes(local, remote));
+        let arrived_at = Instant::now();
+        if stays_unread(node, local) {
+            return HeldUpload { client, length, tail: tail.to_vec(), arrived_at };
+        }
+    }
+    panic!("the node reads {LONGEST_BYTES} bytes for a backend that reads nothing");
+}
+
+/// True if the node leaves bytes from this client unread for as long as it does only when it is stopped.
+fn stays_unread(node: &Node, client: SocketAddr) -> bool {
+    let end = Instant::now() + Duration::from_millis(200);
+    while Instant::now() < end {
+        if !has_unread_bytes(Some(node.address), Some(client)) {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    true
+}
+
+/// Starts a node with these limits for the class `bid`.
+fn start_node(discovery: SocketAddr, aim_ms: u64, deadline_ms: u64) -> Node {
+    Node::start(discovery, |c| {
+        c["settings"]["classes"][1]["objectiveMs"] = aim_ms.into();
+        c["settings"]["classes"][1]["hardLimitMs"] = deadline_ms.into();
+    })
 }
 
 #[test]
@@ -114,58 +167,84 @@
     // Guards against a time limit that begins only when the backend has taken the last byte: the request was closed
     // without a response after 15 s.
     const WAIT: Duration = Duration::from_millis(900);
-    for (framing, body) in framings(BODY_BYTES) {
+    for framing in Framing::ALL {
         let backend = PausedBackend::start();
         let discovery = Discovery::start(all_up(&[backend.address]));
         let node = Node::start(discovery.address, |_| {});
-        let mut client = Client::connect(node.address);
-        assert!(client.send(&upload_head("bid", WAIT.as_millis() as u64, &framing)));
-        let arrived_at = send_and_wait_for_arrival(&mut client, &body);
-        let client_address = client.stream.local_addr().unwrap();
-        assert!(
-            has_unread_bytes(Some(node.address), Some(client_address)),
-            "{framing}: the node must not have read the whole body"
-        );
-        let response = client.read_response().expect("a response to a request that has arrived whole");
-        assert!(matches!(response.status(), 502 | 503), "{framing}: {}", response.first_line);
-        let after = arrived_at.elapsed();
-        assert!(after < WAIT + MAX_LATENESS, "{framing}: {after:?}");
+        let mut upload = hold_upload(&node, WAIT.as_millis() as u64, framing, 0);
+        let response =
+            upload.client.read_response().expect("a response to a request that has arrived whole");
+        assert!(matches!(response.status(), 502 | 503), "{framing:?}: {}", response.first_line);
+        let after = upload.arrived_at.elapsed();
+        assert!(after < WAIT + MAX_LATENESS, "{framing:?}: {after:?}");
         wait_for("the attempt's connection is closed", || backend.traffic.open_connections() == 0);
     }
 }
 
 #[test]
 fn a_slow_client_keeps_its_time_while_its_backend_pauses() {
-    // The pause is longer than the request's time limit, which has not begun: the client still writes 64 kB a second.
+    // The pause is longer than the request's time limit, which has not begun: the client still writes.
     const LIMIT_MS: u64 = 2_000;
-    const PIECE_BYTES: usize = 6_400;
+    const PIECE_BYTES: usize = 1_600;
     const PIECE_INTERVAL: Duration = Duration::from_millis(100);
-    for (framing, body) in framings(BODY_BYTES) {
+    for framing in Framing::ALL {
         let backend = PausedBackend::start();
         let discovery = Discovery::start(all_up(&[backend.address]));
-        let node = Node::start(discovery.address, |c| {
-            c["settings"]["classes"][1]["objectiveMs"] = LIMIT_MS.into();
-            c["settings"]["classes"][1]["hardLimitMs"] = LIMIT_MS.into();
-        });
-        let mut client = Client::connect(node.address);
-        let client_address = client.stream.local_addr().unwrap();
-        assert!(client.send(&upload_head("bid", LIMIT_MS, &framing)));
-        let (started_at, mut was_unread) = (Instant::now(), false);
-        for start in (0..body.len()).step_by(PIECE_BYTES) {
-            assert!(
-                client.send(&body[start..body.len().min(start + PIECE_BYTES)]),
-                "{framing}: byte {start}"
-            );
+        let node = start_node(discovery.address, LIMIT_MS, LIMIT_MS);
+        let mut upload = hold_upload(&node, LIMIT_MS, framing, 30 * PIECE_BYTES);
+        for piece in upload.tail.chunks(PIECE_BYTES) {
+            assert!(upload.client.send(piece), "{framing:?}");
             thread::sleep(PIECE_INTERVAL);
-            was_unread |= has_unread_bytes(Some(node.address), Some(client_address));
-            if start + 4 * PIECE_BYTES > body.len() {
-                backend.resume();
-            }
         }
-        assert!(started_at.elapsed() > Duration::from_millis(LIMIT_MS));
-        assert!(was_unread, "{framing}: the backend's pause must have stopped the node from reading");
+        assert!(upload.arrived_at.elapsed() > Duration::from_millis(LIMIT_MS));
+        backend.resume();
+        let response = upload.client.read_response().expect("a response");
+        assert_eq!((response.status(), response.body.as_slice()), (200, b"done".as_slice()), "{framing:?}");
+        let requests = backend.traffic.requests.lock().unwrap();
+        assert!(requests.last().unwrap().body == vec![0; upload.length], "{framing:?}");
+    }
+}
+
+#[test]
+fn a_request_that_cannot_arrive_is_refused_if_its_backend_stops_reading() {
+    // Guards against a close in silence: the client can write no more, since the backend takes nothing.
+    const LENGTH: usize = 32_000_000;
+    for may_cancel in [true, false] {
+        let backend = PausedBackend::start();
+        let discovery = Discovery::start(all_up(&[backend.address]));
+        let node =
+            Node::start(discovery.address, |c| c["settings"]["limits"]["mayCancel"] = may_cancel.into());
+        let mut client = Client::connect(node.address);
+        client.stream.set_read_timeout(Some(3 * MAX_WAIT)).unwrap();
+        let mut stream = client.stream.try_clone().unwrap();
+        let writer = thread::spawn(move || {
+            stream.write_all(&upload_head("bid", 900, &format!("Content-Length: {LENGTH}"))).unwrap();
+            stream.write_all(&vec![0; LENGTH])
+        });
         let response = client.read_response().expect("a response");
-        assert_eq!((response.status(), response.body.as_slice()), (200, b"done".as_slice()), "{framing}");
-        assert!(backend.traffic.requests.lock().unwrap()[0].body == vec![0; BODY_BYTES], "{framing}");
+        assert_eq!(response.status(), 503, "no backend has received the request whole");
+        wait_for("the attempt's connection is closed", || backend.traffic.open_connections() == 0);
+        drop((client, node));
+        let _ = writer.join().unwrap();
+    }
+}
+
+#[test]
+fn a_client_that_stops_within_a_long_body_gets_an_error() {
+    // Guards against a close in silence after 15 s.
+    for framing in Framing::ALL {
+        let (header, body) = framing.encode(3_000_000);
+        let traffic = Traffic::default();
+        let addresses = start_backends(1, &traffic, |_, _| ok(b"done"));
+        let discovery = Discovery::start(all_up(&addresses));
+        let node = Node::start(discovery.address, |_| {});
+        let mut client = Client::connect(node.address);
+        client.stream.set_read_timeout(Some(3 * MAX_WAIT)).unwrap();
+        assert!(client.send(&upload_head("bid", 900, &header)));
+        assert!(client.send(&body[..100_000]));
+        let response = client.read_response().expect("an error");
+        assert_eq!((response.status(), response.header("connection")), (408, Some("close")), "{framing:?}");
+        wait_for("the attempt's connection is closed", || traffic.open_connections() == 0);
+        assert_eq!(traffic.request_count(), 0, "{framing:?}");
     }
 }
