End the wait for a transfer slot by the request's own time and by the process's end

Callers saw: where no transfer slot is free, a long request with 200 ms got its refusal after 1.0 s; one that waited while the process came to its end was closed without an answer.

Cause: the wait lasted a second whatever the request's time was, and the request's time began after it. `fail_remaining` answers what the driver knows; a request that waits for a slot is not known to it yet.

Change: `take_transfer_slot` ends with the second, with the request's own time from the arrival of its last byte, or when the process refuses all; each gets 503. The time of a long request counts from before the wait.

Evidence: `a_request_is_not_late_by_its_wait_for_a_transfer_slot` (1.004 s in place of 0.75 s at most) and `a_request_that_waits_for_a_transfer_slot_is_answered_before_exit` (no response) failed before and pass now.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -9,6 +9,7 @@
 use crate::log::log_event;
 use crate::socket::{DescriptorSlot, Descriptors, Socket};
 use crate::transfer_progress::TransferProgress;
+use crate::transfer_slots::TransferSlot;
 use crate::upstream::{
     BackendBody, BackendResponse, EXPIRES_HEADER, ForwardedRequest, MAX_BUFFER_BYTES,
     MAX_BUFFERED_BODY_BYTES, Upstream,
@@ -269,6 +270,8 @@
     next_client_number: Cell<u64>,
     mode: Cell<Mode>,
     stop: Notify,
+    /// Notified when the mode becomes [`Mode::Ended`].
+    ended: Notify,
     closed: Notify,
 }
 
@@ -289,6 +292,7 @@
             next_client_number: Cell::new(0),
             mode: Cell::new(Mode::Starting),
             stop: Notify::new(),
+            ended: Notify::new(),
             closed: Notify::new(),
         });
         let weak = Rc::downgrade(&server);
@@ -407,6 +411,7 @@
     /// Refuses all new requests and fails the open ones; unanswered, they would be lost.
     pub fn fail_remaining(&self) {
         self.mode.set(Mode::Ended);
+        self.ended.notify_waiters();
         self.driver.fail_all();
     }
 
@@ -629,6 +634,26 @@
         }
     }
 
+    /// Waits for a transfer slot: for [`SLOT_TIMEOUT`], until the request's own time is over, or until this
+    /// process refuses all requests.
+    async fn take_transfer_slot(
+        &self,
+        arrival: &BodyArrival,
+        arrived: Instant,
+        wait: Duration,
+    ) -> Option<TransferSlot> {
+        let ended = self.ended.notified();
+        if self.mode.get() == Mode::Ended {
+            return None;
+        }
+        tokio::select! {
+            biased;
+            slot = self.upstream.transfer_slots.take(SLOT_TIMEOUT) => slot,
+            () = arrival.passed(wait, arrived) => None,
+            () = ended => None,
+        }
+    }
+
     /// Reads and validates a request. Invalid requests are answered here and reach no backend.
     async fn read_request(
         &self,
@@ -666,20 +691,21 @@
             .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
             .min(MAX_CLIENT_WAIT);
         let request_number = client.socket.request_number();
-        let (body, upload) = match read_body(client, arrived, body).await {
+        let body_read = read_body(client, arrived, body).await;
+        // The deadline counts from the last byte of the request; a streamed one has not ended yet.
+        let arrived = Instant::now();
+        let (body, upload) = match body_read {
             BodyRead::Complete(body) => (body, None),
-            BodyRead::Long(first, rest) => match self.upstream.transfer_slots.take(SLOT_TIMEOUT).await {
-                Some(slot) => {
-                    let length = first.len();
-                    let arrival = BodyArrival::new(client.socket.clone(), request_number);
-                    (first, Some(Upload::new(rest, length, arrival, slot)))
-                }
-                None => {
+            BodyRead::Long(first, rest) => {
+                let arrival = BodyArrival::new(client.socket.clone(), request_number);
+                let Some(slot) = self.take_transfer_slot(&arrival, arrived, wait).await else {
                     self.driver.count_early_refusal(active.names.class_name(class));
                     discard_in_background(client, discard_body(rest));
                     return Err(buffered_response(Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }));
-                }
-            },
+                };
+                let length = first.len();
+                (first, Some(Upload::new(rest, length, arrival, slot)))
+            }
             BodyRead::TooLong(rest) => {
                 discard_in_background(client, discard_body(rest));
                 return Err(closing_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"));
@@ -691,8 +717,6 @@
                 return Err(body_timeout_response());
             }
         };
-        // The deadline counts from the last byte of the request; a streamed one has not ended yet.
-        let arrived = Instant::now();
         let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
         let request = BalancerRequest {
             id: RequestId(0),
--- a/tests/node_stalls.rs
+++ b/tests/node_stalls.rs
@@ -292,3 +292,62 @@
         client.fetch(&request("page", 4000)).status() == 200
     });
 }
+
+/// Starts a node without a free transfer slot, and returns it with the clients that hold its two slots: they do not
+/// read their long responses.
+fn start_node_without_free_slot(deadline_ms: u64) -> (Node, Vec<Client>) {
+    let traffic = Traffic::default();
+    let response = http_response("200 OK", "", &[0; 16_000_000]);
+    let addresses = start_backends(1, &traffic, move |_, _| Action::Send(response.clone()));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |c| {
+        // Memory for the least number of slots, which is two.
+        c["limits"]["memory_mb"] = 1.into();
+        for class in c["settings"]["classes"].as_array_mut().unwrap() {
+            class["objectiveMs"] = deadline_ms.into();
+            class["hardLimitMs"] = deadline_ms.into();
+        }
+    });
+    let holders = (0..2).map(|_| {
+        let mut client = Client::connect(node.address);
+        assert!(client.send(&request("page", deadline_ms)) && client.wait_for_data());
+        client
+    });
+    let holders = holders.collect();
+    (node, holders)
+}
+
+#[test]
+fn a_request_is_not_late_by_its_wait_for_a_transfer_slot() {
+    // Guards against a wait of a second that takes no account of the request's own time.
+    const WAIT: Duration = Duration::from_millis(200);
+    let (node, _holders) = start_node_without_free_slot(900);
+    for framing in Framing::ALL {
+        let (header, body) = framing.encode(100_000);
+        let mut client = Client::connect(node.address);
+        assert!(client.send(&upload_head("bid", WAIT.as_millis() as u64, &header)));
+        let sent_at = Instant::now();
+        assert!(client.send(&body));
+        assert_eq!(client.read_response().expect("a response").status(), 503, "{framing:?}");
+        let after = sent_at.elapsed();
+        assert!(after < WAIT + MAX_LATENESS, "{framing:?}: {after:?}");
+    }
+}
+
+#[test]
+fn a_request_that_waits_for_a_transfer_slot_is_answered_before_exit() {
+    // Guards against a wait that outlasts the process: the request was read and its connection closed without a response.
+    let (mut node, _holders) = start_node_without_free_slot(300);
+    let body = [0; 100_000];
+    let mut client = Client::connect(node.address);
+    assert!(
+        client.send(&upload_head("bid", 60_000, "Content-Length: 100000")) && client.send(&body[..50_000])
+    );
+    wait_for("the first part is read", || {
+        !has_unread_bytes(Some(node.address), Some(client.stream.local_addr().unwrap()))
+    });
+    node.terminate();
+    assert!(client.send(&body[50_000..]));
+    assert_eq!(client.read_response().expect("a response").status(), 503);
+    assert!(node.wait_for_exit().success());
+}
