Do not count a backend's pauses against the client of a long response

Callers saw: a long response of which the backend gives less than 16 KiB in 15 s was cut, although bytes came each 3 s.

Cause: the check for clients that have stopped reading looked at the bytes written to the client alone, whoever kept them back.

Change: while a streamed response waits for the backend the client's time starts anew. `BODY_IDLE_TIMEOUT`, 10 s without a byte, is the backend's clock, as before; the client's, 16 KiB in 15 s, counts while the node has something for it.

Evidence: `a_response_that_its_backend_gives_slowly_is_not_cut` failed before (cut after 15 s) and passes now.

--- a/src/node/body.rs
+++ b/src/node/body.rs
@@ -289,6 +289,8 @@
     remaining: Option<u64>,
     pieces: mpsc::Receiver<Piece>,
     is_finished: bool,
+    /// Called when the client has taken everything so far and the backend has not given more.
+    on_waiting: Box<dyn Fn()>,
     /// Called if the body is truncated, so that the client can be made to notice.
     on_truncated: Box<dyn Fn()>,
     _held: H,
@@ -299,10 +301,18 @@
     pub fn new(
         length: Option<u64>,
         pieces: mpsc::Receiver<Piece>,
+        on_waiting: Box<dyn Fn()>,
         on_truncated: Box<dyn Fn()>,
         held: H,
     ) -> StreamedResponse<H> {
-        StreamedResponse { remaining: length, pieces, is_finished: false, on_truncated, _held: held }
+        StreamedResponse {
+            remaining: length,
+            pieces,
+            is_finished: false,
+            on_waiting,
+            on_truncated,
+            _held: held,
+        }
     }
 }
 
@@ -317,7 +327,11 @@
         if self.is_finished {
             return Poll::Ready(None);
         }
-        match ready!(self.pieces.poll_recv(cx)) {
+        let polled = self.pieces.poll_recv(cx);
+        if polled.is_pending() {
+            (self.on_waiting)();
+        }
+        match ready!(polled) {
             Some(Piece::Data(data)) => {
                 self.remaining = self.remaining.map(|left| left.saturating_sub(data.len() as u64));
                 Poll::Ready(Some(Ok(Frame::data(data))))
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -170,7 +170,7 @@
         has_stalled
     }
 
-    /// Marks the start of a streamed response.
+    /// Starts the time in which the client has to take more of a streamed response.
     fn start_response(&self) {
         self.response_progress.set(Some(TransferProgress::new(self.socket.bytes_written())));
     }
@@ -633,8 +633,11 @@
                 busy.0.start_response();
                 busy.0.socket.limit_send_buffer(SEND_BUFFER_BYTES);
                 let client = busy.0.clone();
+                // A slow backend is no slow client: `BODY_IDLE_TIMEOUT` limits its pauses.
+                let on_waiting = Box::new(move || client.start_response());
+                let client = busy.0.clone();
                 let on_truncated = Box::new(move || client.socket.reset_on_close());
-                let body = StreamedResponse::new(length, pieces, on_truncated, busy);
+                let body = StreamedResponse::new(length, pieces, on_waiting, on_truncated, busy);
                 with_content_type(Response::new(Either::Right(body)), content_type)
             }
             answer => buffered_response(answer),
--- a/tests/node_stalls.rs
+++ b/tests/node_stalls.rs
@@ -381,3 +381,20 @@
         assert!(matches!(response.status(), 200 | 503), "{}", response.first_line);
     }
 }
+
+#[test]
+fn a_response_that_its_backend_gives_slowly_is_not_cut() {
+    // Guards against a check for clients that have stopped reading which counts the backend's pauses: a response of less
+    // than 16 KiB in 15 s was cut.
+    const PAUSE_MS: u64 = 3_000;
+    let parts: Vec<(u64, Vec<u8>)> =
+        (0..7).map(|n| (PAUSE_MS, format!("1\r\n{n}\r\n").into_bytes())).collect();
+    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n".to_vec();
+    let parts = [vec![(0, head)], parts, vec![(0, b"0\r\n\r\n".to_vec())]].concat();
+    let traffic = Traffic::default();
+    let addresses = start_backends(1, &traffic, move |_, _| Action::Parts(parts.clone()));
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let response = fetch(node.address, &request("page", 4000));
+    assert_eq!((response.status(), response.body.as_slice()), (200, b"start0123456".as_slice()));
+}
