Move a client connection's state and the responses out of the server

Connection state and its guards are client_connection.rs, the responses client_response.rs; what remains accepts, reads and dispatches. Moved as they were, but for a constructor and three accessors in place of fields set from outside.

--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -3,6 +3,8 @@
 mod active_settings;
 mod body;
 mod body_arrival;
+mod client_connection;
+mod client_response;
 mod discovery;
 mod discovery_calls;
 mod driver;
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,14 +1,16 @@
-//! Client side of the node: connections, requests and responses.
+//! Client side of the node: accepts connections, reads requests and dispatches them.
 
 use crate::active_settings::{ActiveSettings, CurrentSettings};
-use crate::body::{
-    BODY_BASE_TIMEOUT, MAX_BODY_BYTES, StreamedResponse, Upload, body_transfer_time, discard_body,
-};
+use crate::body::{MAX_BODY_BYTES, StreamedResponse, Upload, discard_body};
 use crate::body_arrival::BodyArrival;
+use crate::client_connection::{BusyGuard, ClientConnection, STUCK_TIMEOUT, discard_in_background};
+use crate::client_response::{
+    ClientBody, body_timeout_response, buffered_response, closing_response, text_response,
+    with_content_type,
+};
 use crate::driver::{Answer, Driver};
 use crate::log::log_event;
 use crate::socket::{DescriptorSlot, Descriptors, Socket};
-use crate::transfer_progress::TransferProgress;
 use crate::transfer_slots::TransferSlot;
 use crate::upstream::{
     BackendBody, BackendResponse, EXPIRES_HEADER, ForwardedRequest, MAX_BUFFER_BYTES,
@@ -17,11 +19,11 @@
 use bytes::{Bytes, BytesMut};
 use daleturn::interface::{Effect, Request as BalancerRequest, RequestId};
 use daleturn::wire::stable_hash;
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::{BodyExt, Either};
 use hyper::body::{Body, Incoming};
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
 };
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
@@ -31,7 +33,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -50,9 +51,6 @@
 const MAX_CLIENT_WAIT: Duration = Duration::from_secs(600);
 /// Time after which a connection is closed if the next request header is not complete, idle or not.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time from the accept until a connection's first request header must be complete. A silent or slow client
-/// is closed or answered within three seconds.
-const FIRST_HEADER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Interval of the checks for overdue clients, without and with an open request.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -63,10 +61,6 @@
 /// Send buffer of the operating system for a streamed response. With a larger one, a slow client would look
 /// like a stalled one.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
-/// A connection younger than this is assumed to have its first request in transit.
-const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(500);
-/// Under descriptor pressure, a client that has paused within a request for this long may be closed.
-const STUCK_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval at which a node that is quiescing or stopping closes idle connections.
 const CLOSE_IDLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Minimum accept time after the stop signal. New connections arrive for up to 0.4 s after it; the rest is
@@ -94,148 +88,6 @@
     UPGRADE,
 ];
 
-/// State of a client connection.
-struct ClientConnection {
-    socket: Socket,
-    accepted_at: Instant,
-    /// True once a request on this connection has been answered.
-    has_responded: Cell<bool>,
-    is_busy: Cell<bool>,
-    /// True if the open request has been read completely.
-    is_request_complete: Cell<bool>,
-    idle_since: Cell<Instant>,
-    /// Number of bytes read when the connection last became idle.
-    read_at_idle: Cell<u64>,
-    /// When the connection was first seen with a partially read request header.
-    stuck_since: Cell<Option<Instant>>,
-    /// Progress of the streamed response, if there is one.
-    response_progress: Cell<Option<TransferProgress>>,
-    /// True while the rest of an answered request is read and discarded.
-    is_discarding: Cell<bool>,
-    close: Notify,
-}
-
-impl ClientConnection {
-    /// True if no request is open or being read and no data is pending. A new connection is not idle, since
-    /// its first request is expected.
-    fn is_idle(&self) -> bool {
-        let fresh = self.socket.bytes_read() == 0 && self.idle_since.get().elapsed() < NEW_CONNECTION_GRACE;
-        !fresh
-            && !self.is_busy.get()
-            && self.socket.bytes_read() == self.read_at_idle.get()
-            && self.socket.is_quiet()
-    }
-
-    /// True if a partial request header was first noticed longer than `limit` ago. The first call notices
-    /// it.
-    fn is_stuck(&self, limit: Duration) -> bool {
-        if self.is_busy.get() || self.socket.bytes_read() == self.read_at_idle.get() {
-            return false;
-        }
-        let seen = self.stuck_since.get().unwrap_or_else(Instant::now);
-        self.stuck_since.set(Some(seen));
-        seen.elapsed() > limit && !self.may_have_written()
-    }
-
-    /// True if the client may have written the rest of its request: a process that was held up notices that
-    /// the time is over before it reads what came meanwhile.
-    fn may_have_written(&self) -> bool {
-        !self.is_discarding.get() && !self.socket.is_quiet()
-    }
-
-    /// True if the client has disconnected while its request was open. Data behind the request is read
-    /// ahead, since the end of the stream is only visible behind it.
-    fn has_left(&self) -> bool {
-        if self.is_request_complete.get() {
-            self.socket.read_ahead();
-        }
-        self.is_busy.get() && self.socket.is_peer_closed()
-    }
-
-    /// True if the client has not sent a request or the rest of its head, or has not taken enough of a
-    /// streamed response, within its time limit.
-    fn is_overdue(&self) -> bool {
-        let silent = !self.has_responded.get()
-            && !self.is_busy.get()
-            && self.accepted_at.elapsed() > FIRST_HEADER_TIMEOUT
-            && !self.may_have_written();
-        silent || !self.is_discarding.get() && self.is_stuck(FIRST_HEADER_TIMEOUT) || self.is_stalled()
-    }
-
-    /// True if a streamed response makes no progress.
-    fn is_stalled(&self) -> bool {
-        let Some(mut progress) = self.response_progress.get() else { return false };
-        let has_stalled = progress.has_stalled(self.socket.bytes_written());
-        self.response_progress.set(Some(progress));
-        has_stalled
-    }
-
-    /// Starts the time in which the client has to take more of a streamed response.
-    fn start_response(&self) {
-        self.response_progress.set(Some(TransferProgress::new(self.socket.bytes_written())));
-    }
-
-    /// Returns the deadline for the rest of a body of which `read` bytes have arrived, for a header that
-    /// arrived at `arrived`.
-    fn body_deadline(&self, arrived: Instant, read: u64) -> Instant {
-        let from = if self.has_responded.get() { arrived } else { self.accepted_at };
-        from + BODY_BASE_TIMEOUT + body_transfer_time(read)
-    }
-}
-
-/// Marks a connection as busy while a request is open on it.
-struct BusyGuard(Rc<ClientConnection>);
-
-impl BusyGuard {
-    fn new(client: Rc<ClientConnection>) -> BusyGuard {
-        client.is_busy.set(true);
-        client.stuck_since.set(None);
-        BusyGuard(client)
-    }
-}
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.is_busy.set(false);
-        self.0.is_request_complete.set(false);
-        self.0.response_progress.set(None);
-        self.0.has_responded.set(true);
-        self.0.idle_since.set(Instant::now());
-        self.0.read_at_idle.set(self.0.socket.bytes_read());
-    }
-}
-
-/// Marks a connection while the rest of an answered request is discarded: what its client writes meanwhile is
-/// not a slow head.
-struct DiscardGuard(Rc<ClientConnection>);
-
-impl DiscardGuard {
-    fn new(client: Rc<ClientConnection>) -> DiscardGuard {
-        client.is_discarding.set(true);
-        DiscardGuard(client)
-    }
-}
-
-impl Drop for DiscardGuard {
-    fn drop(&mut self) {
-        let client = &self.0;
-        client.is_discarding.set(false);
-        client.stuck_since.set(None);
-        if !client.is_busy.get() && client.socket.is_between_requests() {
-            client.read_at_idle.set(client.socket.bytes_read());
-        }
-    }
-}
-
-/// Discards the rest of an answered request in the background.
-fn discard_in_background(client: &Rc<ClientConnection>, discarding: impl Future<Output = ()> + 'static) {
-    let guard = DiscardGuard::new(client.clone());
-    spawn_local(async move {
-        discarding.await;
-        drop(guard);
-    });
-}
-
 /// Registration of a client connection. Dropping it removes the connection however its task ends; otherwise
 /// its descriptor would leak.
 struct ClientRegistration {
@@ -317,8 +169,8 @@
     /// may be closed.
     fn close_longest_idle(&self) {
         let clients = self.clients.borrow();
-        let mut order: Vec<&Rc<ClientConnection>> = clients.values().filter(|c| !c.is_busy.get()).collect();
-        order.sort_by_key(|c| c.idle_since.get());
+        let mut order: Vec<&Rc<ClientConnection>> = clients.values().filter(|c| !c.is_busy()).collect();
+        order.sort_by_key(|c| c.idle_since());
         if let Some(client) = order.into_iter().find(|c| c.is_idle() || c.is_stuck(STUCK_TIMEOUT)) {
             client.close.notify_one();
         }
@@ -490,19 +342,7 @@
     /// Registers an accepted connection and starts its task.
     fn add_client(self: &Rc<Self>, stream: TcpStream, slot: DescriptorSlot) {
         let socket = Socket::for_client(stream, slot);
-        let client = Rc::new(ClientConnection {
-            socket: socket.clone(),
-            accepted_at: Instant::now(),
-            has_responded: Cell::new(false),
-            is_busy: Cell::new(false),
-            is_request_complete: Cell::new(false),
-            idle_since: Cell::new(Instant::now()),
-            read_at_idle: Cell::new(0),
-            stuck_since: Cell::new(None),
-            response_progress: Cell::new(None),
-            is_discarding: Cell::new(false),
-            close: Notify::new(),
-        });
+        let client = Rc::new(ClientConnection::new(socket.clone()));
         let number = self.next_client_number.get();
         self.next_client_number.set(number + 1);
         self.clients.borrow_mut().insert(number, client.clone());
@@ -525,7 +365,7 @@
         );
         let mut was_idle = false;
         loop {
-            let interval = if client.is_busy.get() { BUSY_CHECK_INTERVAL } else { CHECK_INTERVAL };
+            let interval = if client.is_busy() { BUSY_CHECK_INTERVAL } else { CHECK_INTERVAL };
             tokio::select! {
                 // An error means that the client disconnected, or violated the protocol and was told so.
                 _ = connection.as_mut() => break,
@@ -600,7 +440,9 @@
         ParsedRequest { request, active, forwarded, arrived, wait }: ParsedRequest,
     ) -> Response<ClientBody> {
         let upload = forwarded.upload.clone();
-        busy.0.is_request_complete.set(upload.is_none());
+        if upload.is_none() {
+            busy.0.set_request_complete();
+        }
         let is_full = self.driver.open_requests() >= active.settings.open_cap as usize;
         let answer = if is_full || self.mode.get() == Mode::Ended {
             self.driver.count_early_refusal(active.names.class_name(request.class));
@@ -760,9 +602,6 @@
     wait: Duration,
 }
 
-/// Body of a response to a client.
-type ClientBody = Either<Full<Bytes>, StreamedResponse<BusyGuard>>;
-
 /// Result of reading a request body, as far as needed before the request is submitted.
 enum BodyRead {
     Complete(Bytes),
@@ -825,54 +664,3 @@
     }
     headers
 }
-
-/// Returns a response with a text body.
-fn text_response(status: StatusCode, text: &'static str) -> Response<ClientBody> {
-    let mut response = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
-    *response.status_mut() = status;
-    response
-}
-
-/// Returns a response that closes the connection, because the rest of the client's data cannot be parsed or
-/// is unwanted.
-fn closing_response(status: StatusCode, text: &'static str) -> Response<ClientBody> {
-    let mut response = text_response(status, text);
-    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-/// Returns the response to a client that writes its body too slowly or not at all.
-fn body_timeout_response() -> Response<ClientBody> {
-    closing_response(StatusCode::REQUEST_TIMEOUT, "the body did not come in time\n")
-}
-
-/// Adds a `Content-Type` header, if there is one, to a response.
-fn with_content_type(
-    mut response: Response<ClientBody>,
-    content_type: Option<HeaderValue>,
-) -> Response<ClientBody> {
-    if let Some(content_type) = content_type {
-        response.headers_mut().insert(CONTENT_TYPE, content_type);
-    }
-    response
-}
-
-/// Converts an answer with a complete body to a response for the client.
-fn buffered_response(answer: Answer) -> Response<ClientBody> {
-    match answer {
-        Answer::Served(BackendResponse { body: BackendBody::Complete(body), content_type }) => {
-            with_content_type(Response::new(Either::Left(Full::new(body))), content_type)
-        }
-        Answer::Refused { retry_after_ms } => {
-            let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "try again later\n");
-            if retry_after_ms > 0.0
-                && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", retry_after_ms / 1000.0))
-            {
-                response.headers_mut().insert(RETRY_AFTER, seconds);
-            }
-            response
-        }
-        Answer::Rejected(status) => text_response(status, "a backend finds the request wrong\n"),
-        Answer::Failed | Answer::Served(_) => text_response(StatusCode::BAD_GATEWAY, "failed\n"),
-    }
-}
