--- a/tests/node_stalls.rs
+++ b/tests/node_stalls.rs
@@ -398,3 +398,26 @@
     let response = fetch(node.address, &request("page", 4000));
     assert_eq!((response.status(), response.body.as_slice()), (200, b"start0123456".as_slice()));
 }
+
+#[test]
+fn a_held_up_long_request_is_answered_at_exit_and_at_an_upgrade() {
+    // Guards against an exit that leaves a request in the receive buffer without a response. Its own time is far longer
+    // than the process has.
+    const LIMIT_MS: u64 = 60_000;
+    for has_successor in [false, true] {
+        let backend = PausedBackend::start();
+        let discovery = Discovery::start(all_up(&[backend.address]));
+        let mut node = start_node(discovery.address, LIMIT_MS, LIMIT_MS);
+        let mut upload = hold_upload(&node, LIMIT_MS, Framing::Length, 0);
+        let successor = has_successor.then(|| node.start_successor("exec \"$0\""));
+        if let Some(successor) = &successor {
+            wait_for("the new process serves", || {
+                successor.try_call("health").is_some_and(|answer| answer.starts_with("OK"))
+            });
+        }
+        node.terminate();
+        let response = upload.client.read_response().expect("a response before the process exits");
+        assert!(matches!(response.status(), 502 | 503), "{}", response.first_line);
+        assert!(node.wait_for_exit().success());
+    }
+}
