Find the length of a held-up test request by bisection

Seen: beside eight busy processes and two more copies of itself, node_stalls failed in each of three runs ("timed out waiting for: the node's machine has the bytes"): what the kernel's buffers take differs from one connection to the next by more than one step.

Change: the length is found by bisection between what the node reads whole and what does not fit, with the bounds widened when they meet; a trial that is given up resets its connection, since a close waits behind bytes that cannot be sent. What is asserted of the node is unchanged.

--- a/tests/node_stalls.rs
+++ b/tests/node_stalls.rs
@@ -3,7 +3,7 @@
 mod node;
 
 use node::*;
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -123,38 +123,78 @@
     arrived_at: Instant,
 }
 
-/// Sends a request to a node whose backend is paused, all but the last `tail_bytes` bytes. How much the buffers behind
-/// the node take is up to the kernel, so the body gets longer until its end is not read any more.
+/// Where the bytes that a client sent have got to while the backend is paused.
+enum Reach {
+    /// The node has read all of them.
+    Read,
+    /// All have been at the node's machine since this instant, and the node leaves some unread.
+    Held(Instant),
+    /// Some do not fit into the node's receive buffer.
+    Client,
+}
+
+/// Returns how far the bytes get that a client has sent. The node counts as stopped when nothing has changed for
+/// `SETTLED`.
+fn reach_of(node: &Node, client: &Client) -> Reach {
+    const SETTLED: Duration = Duration::from_millis(300);
+    let (local, remote) = (client.stream.local_addr().unwrap(), client.stream.peer_addr().unwrap());
+    let (sent_at, mut arrived_at) = (Instant::now(), None);
+    while sent_at.elapsed() < SETTLED {
+        if !has_unacknowledged_bytes(local, remote) {
+            arrived_at = arrived_at.or(Some(Instant::now()));
+            if !has_unread_bytes(Some(node.address), Some(local)) {
+                return Reach::Read;
+            }
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    arrived_at.map_or(Reach::Client, Reach::Held)
+}
+
+/// Sends a request to a node whose backend is paused, all but the last `tail_bytes` bytes, so that its end stays unread.
+/// How much the buffers on the way take is up to the kernel, so the length is found by bisection.
 fn hold_upload(node: &Node, expires_ms: u64, framing: Framing, tail_bytes: usize) -> HeldUpload {
-    const SHORTEST_BYTES: usize = 300_000;
+    const SHORTEST_BYTES: usize = 200_000;
     const LONGEST_BYTES: usize = 8_000_000;
-    const STEP_BYTES: usize = 32_000;
-    for sent_bytes in (SHORTEST_BYTES..LONGEST_BYTES).step_by(STEP_BYTES) {
+    const MAX_TRIALS: usize = 60;
+    /// Difference at which the bounds are widened: what the kernel takes varies from one connection to the next.
+    const MIN_DIFFERENCE_BYTES: usize = 8_000;
+    const WIDENING_BYTES: usize = 100_000;
+    let (mut read_bytes, mut unsent_bytes) = (SHORTEST_BYTES, 2 * SHORTEST_BYTES);
+    let mut is_bounded = false;
+    for _ in 0..MAX_TRIALS {
+        let sent_bytes = if is_bounded { (read_bytes + unsent_bytes) / 2 } else { unsent_bytes };
         let length = sent_bytes + tail_bytes;
         let (header, body) = framing.encode(length);
         let (start, tail) = body.split_at(body.len() - tail_bytes);
         let mut client = Client::connect(node.address);
-        let (local, remote) = (client.stream.local_addr().unwrap(), client.stream.peer_addr().unwrap());
-        assert!(client.send(&upload_head("bid", expires_ms, &header)) && client.send(start));
-        wait_for("the node's machine has the bytes", || !has_unacknowledged_bytes(local, remote));
-        let arrived_at = Instant::now();
-        if stays_unread(node, local) {
-            return HeldUpload { client, length, tail: tail.to_vec(), arrived_at };
+        assert!(client.send(&upload_head("bid", expires_ms, &header)));
+        // Some of it may not fit into any buffer.
+        client.stream.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+        // A client that is dropped resets its connection: its close would wait behind what it cannot send.
+        SockRef::from(&client.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        let reach = if client.send(start) { reach_of(node, &client) } else { Reach::Client };
+        match reach {
+            Reach::Held(arrived_at) => {
+                client.stream.set_write_timeout(Some(MAX_WAIT)).unwrap();
+                return HeldUpload { client, length, tail: tail.to_vec(), arrived_at };
+            }
+            Reach::Read if is_bounded => read_bytes = sent_bytes,
+            Reach::Read => {
+                read_bytes = sent_bytes;
+                unsent_bytes = (2 * sent_bytes).min(LONGEST_BYTES);
+            }
+            Reach::Client => {
+                is_bounded = true;
+                unsent_bytes = sent_bytes;
+            }
         }
-    }
-    panic!("the node reads {LONGEST_BYTES} bytes for a backend that reads nothing");
-}
-
-/// True if the node leaves bytes from this client unread for as long as it does only when it is stopped.
-fn stays_unread(node: &Node, client: SocketAddr) -> bool {
-    let end = Instant::now() + Duration::from_millis(200);
-    while Instant::now() < end {
-        if !has_unread_bytes(Some(node.address), Some(client)) {
-            return false;
+        if is_bounded && read_bytes + MIN_DIFFERENCE_BYTES > unsent_bytes {
+            read_bytes = read_bytes.saturating_sub(WIDENING_BYTES).max(SHORTEST_BYTES / 2);
+            unsent_bytes += WIDENING_BYTES;
         }
-        thread::sleep(Duration::from_millis(5));
     }
-    true
+    panic!("no length was found at which a body's end stays unread");
 }
 
 /// Starts a node with these limits for the class `bid`.
