--- a/review/stand-ins-2/mod.rs
+++ b/review/stand-ins-2/mod.rs
@@ -23,7 +23,6 @@
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
-    fn listen(socket: i32, backlog: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -231,73 +230,6 @@
     new_listener().1
 }
 
-/// A config server's listener whose connections come up late while `set_late` says so: its backlog is full, and
-/// the system tries again a second later.
-pub struct LateListener {
-    listener: TcpListener,
-    address: SocketAddr,
-    state: Arc<(Mutex<bool>, Condvar)>,
-    fillers: Mutex<Vec<TcpStream>>,
-}
-
-impl LateListener {
-    pub fn start(
-        act: impl Fn(&Message, u64, &mut TcpStream) -> Act + Send + Sync + 'static,
-    ) -> Arc<LateListener> {
-        let (listener, address) = new_listener();
-        unsafe { listen(listener.as_raw_fd(), 0) };
-        let own = listener.try_clone().unwrap();
-        let late =
-            Arc::new(LateListener { listener, address, state: Arc::default(), fillers: Mutex::default() });
-        let state = late.state.clone();
-        let act = Arc::new(act);
-        thread::spawn(move || {
-            let mut number = 0;
-            loop {
-                let mut is_late = state.0.lock().unwrap();
-                while *is_late {
-                    is_late = state.1.wait(is_late).unwrap();
-                }
-                drop(is_late);
-                // A poll in short steps: the listener must not accept while connections are to come up late.
-                let _ = own.set_nonblocking(true);
-                match own.accept() {
-                    Ok((stream, _)) => {
-                        let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
-                        let (act, connection) = (act.clone(), number);
-                        number += 1;
-                        thread::spawn(move || serve_connection(stream, connection, &*act));
-                    }
-                    Err(_) => thread::sleep(ms(1)),
-                }
-            }
-        });
-        late
-    }
-
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// From now on new connections come up late, or at once again.
-    pub fn set_late(&self, late: bool) {
-        *self.state.0.lock().unwrap() = late;
-        if late {
-            // Lets the accepting thread notice, then fills the backlog.
-            thread::sleep(ms(5));
-            let mut fillers = self.fillers.lock().unwrap();
-            for _ in 0..2 {
-                if let Ok(filler) = TcpStream::connect_timeout(&self.address, ms(50)) {
-                    fillers.push(filler);
-                }
-            }
-        } else {
-            self.fillers.lock().unwrap().clear();
-            self.state.1.notify_all();
-        }
-    }
-}
-
 /// Serves each connection of a listener on a thread of its own.
 pub fn serve(listener: TcpListener, serve: impl Fn(TcpStream, u64) + Send + Sync + 'static) {
     let serve = Arc::new(serve);
@@ -761,10 +693,6 @@
         self.send(request)?;
         self.receive(limit)
     }
-
-    pub fn reader(&mut self) -> &mut BufReader<TcpStream> {
-        &mut self.reader
-    }
 }
 
 /// A fresh id for a request.
