Review case 8: an upgrade during an outage of discovery forgets what drains

Two processes of an upgrade count as one node, but the new one begins with the list of its file and sends to a server that the node was told drains.

Change: the case with its claim and script; discovery's stand-in can be down, and a configuration can hold a known list.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,21 @@
+#!/bin/sh
+# Case 8: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
+# disruption out. Needs the build of the deploy file and review/build-2.sh.
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+program=target/review-2/case-8
+if [ ! -x target/release/daleturn-node ] || [ ! -x "$program" ]; then
+    echo "build the deploy file and run review/build-2.sh first" >&2
+    exit 2
+fi
+CASE_TMP=$(mktemp -d) || exit 2
+export CASE_TMP
+pid=
+trap '[ -z "$pid" ] || kill "$pid" 2>/dev/null; rm -rf "$CASE_TMP"' EXIT
+trap 'exit 2' INT TERM HUP
+"$program" "$here" &
+pid=$!
+wait "$pid"
+status=$?
+pid=
+case $status in 0 | 1) exit "$status" ;; *) exit 2 ;; esac
--- a/review/stand-ins-2/mod.rs
+++ b/review/stand-ins-2/mod.rs
@@ -338,6 +338,8 @@
 #[derive(Default)]
 struct Listed {
     rev: u64,
+    /// Calls are answered with 503, and open watches end so.
+    is_down: bool,
     /// Each target with the version of its last change.
     targets: BTreeMap<String, (u64, Target)>,
 }
@@ -345,8 +347,11 @@
 impl Discovery {
     pub fn start(targets: Vec<Target>) -> Discovery {
         let (listener, address) = new_listener();
-        let listed =
-            Listed { rev: 1, targets: targets.into_iter().map(|t| (t.uid.clone(), (1, t))).collect() };
+        let listed = Listed {
+            rev: 1,
+            is_down: false,
+            targets: targets.into_iter().map(|t| (t.uid.clone(), (1, t))).collect(),
+        };
         let discovery = Discovery { address, state: Arc::new((Mutex::new(listed), Condvar::new())) };
         let own = discovery.clone();
         serve(listener, move |stream, _| own.serve(stream));
@@ -365,9 +370,17 @@
             let end = Instant::now() + ms(wait);
             let (lock, changed) = &*self.state;
             let mut listed = lock.lock().unwrap();
-            while after.is_some_and(|after| listed.rev <= after) && Instant::now() < end {
+            while !listed.is_down && after.is_some_and(|after| listed.rev <= after) && Instant::now() < end
+            {
                 listed = changed.wait_timeout(listed, ms(20)).unwrap().0;
             }
+            if listed.is_down {
+                drop(listed);
+                if stream.write_all(&response("503 Service Unavailable", "", b"")).is_err() {
+                    return;
+                }
+                continue;
+            }
             let lines: Vec<String> = (listed.targets.values())
                 .filter(|(rev, target)| match after {
                     None => target.state != "removed",
@@ -391,6 +404,12 @@
         }
     }
 
+    /// Takes discovery down or brings it back.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.0.lock().unwrap().is_down = is_down;
+        self.state.1.notify_all();
+    }
+
     /// Adds or changes a line.
     pub fn set(&self, target: Target) {
         let mut listed = self.state.0.lock().unwrap();
@@ -451,6 +470,8 @@
     pub sockets: u32,
     /// Memory that the node may use.
     pub memory_mb: u32,
+    /// The list that the configuration gives as the node last had it, of version 1.
+    pub known: Vec<Target>,
 }
 
 impl Default for Settings {
@@ -470,6 +491,7 @@
             options: "",
             sockets: 1024,
             memory_mb: 192,
+            known: Vec::new(),
         }
     }
 }
@@ -586,11 +608,13 @@
         };
         format!(
             "{{\"name\":\"n{}\",\"listen\":\"{address}\",\"operator\":\"{operator}\",\"discovery\":\"{discovery}\",\"seed\":\"{:016x}\",{peers}\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{{\"rev\":0,\"all\":true,\"targets\":[]}},\"settings\":{}}}",
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{{\"rev\":{},\"all\":true,\"targets\":[{}]}},\"settings\":{}}}",
             settings.slot,
             unix_ms().wrapping_mul(0x9e37_79b9_7f4a_7c15),
             settings.memory_mb,
             settings.sockets,
+            u8::from(!settings.known.is_empty()),
+            settings.known.iter().map(Target::json).collect::<Vec<_>>().join(","),
             settings.json()
         )
     }
