Review stand-ins: wait for the ends of the processes that a case has started

Need: a script that had just ended left nodes that were killed but not gone yet.

Change: the stand-ins wait for each process after its SIGKILL.

--- a/review/stand-ins-2/mod.rs
+++ b/review/stand-ins-2/mod.rs
@@ -22,6 +22,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
@@ -108,10 +109,16 @@
 /// Processes that the case has started.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Ends all processes that the case has started, and waits for their ends.
 fn kill_all() {
-    for pid in STARTED.lock().unwrap().iter() {
+    let started = STARTED.lock().unwrap();
+    for pid in started.iter() {
         send_signal(*pid, SIGKILL);
     }
+    for pid in started.iter() {
+        // Fails for one whose end was taken note of before.
+        unsafe { waitpid(*pid as i32, std::ptr::null_mut(), 0) };
+    }
 }
 
 pub fn could_not_run(why: &str) -> ! {
