Review cases 6 to 10: record what every client sends and every server runs

Need: the records of cases 7 to 10 left out the load, the scripts did not name record.txt, and the stand-ins held socket constants that no case needs.

Change: each script names its record; the records have each request sent, answered and run; the reset with its constants is removed; a program ends with its script, however that is stopped.

--- a/review/10/case-2.rs
+++ b/review/10/case-2.rs
@@ -39,6 +39,7 @@
                 }
                 if request.header("x-props") != Some("long=1") {
                     thread::sleep(ms(15));
+                    record.log(&format!("{uid}: ran {id}"));
                     return Act::Write(response("200 OK", "", format!("for {id}").as_bytes()));
                 }
                 record.log(&format!("{uid}: gives the long answer to {id}"));
@@ -70,13 +71,20 @@
     let end = Instant::now() + ms(16_000);
     let load: Vec<_> = (0..10)
         .map(|n| {
-            let address = node.address;
+            let (record, address) = (record.clone(), node.address);
             thread::spawn(move || {
                 while Instant::now() < end {
                     let Ok(mut client) = Client::connect(address) else { continue };
                     for _ in 0..20 {
-                        let bytes = request(&fresh_id(), "catalogue", "idempotent", 600, b"");
-                        if client.fetch(&bytes, ms(3000)).is_err() {
+                        let id = fresh_id();
+                        record.log(&format!("short client {n}: sends {id}"));
+                        let bytes = request(&id, "catalogue", "idempotent", 600, b"");
+                        let answer = client.fetch(&bytes, ms(3000));
+                        record.log(&format!(
+                            "short client {n}: {id} got {:?}",
+                            answer.as_ref().map(Message::status)
+                        ));
+                        if answer.is_err() {
                             break;
                         }
                         thread::sleep(ms(10 + n));
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Case 10: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
-# disruption out. Needs the build of the deploy file and review/build-2.sh.
+# disruption out. record.txt beside this script gets what was sent, answered and run. Needs the build of the deploy file and review/build-2.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 program=target/review-2/case-10
@@ -11,9 +11,9 @@
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
 pid=
-trap '[ -z "$pid" ] || kill "$pid" 2>/dev/null; rm -rf "$CASE_TMP"' EXIT
+trap '[ -z "$pid" ] || { kill "$pid"; wait "$pid"; } 2>/dev/null; rm -rf "$CASE_TMP"' EXIT
 trap 'exit 2' INT TERM HUP
-"$program" "$here" &
+"$program" "$here/record.txt" &
 pid=$!
 wait "$pid"
 status=$?
--- a/review/6/case-2.rs
+++ b/review/6/case-2.rs
@@ -28,6 +28,7 @@
         let (record, told) = (record.clone(), told.clone());
         let address = config_server(move |request, _, stream| {
             let id = request.id();
+            record.log(&format!("s-{n}: begins the answer to {id}"));
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BYTES}\r\n\r\n");
             if stream.write_all(head.as_bytes()).is_err() {
                 return Act::Close;
--- a/review/7/case-2.rs
+++ b/review/7/case-2.rs
@@ -47,8 +47,10 @@
     let record = Record::open();
     let mut targets = Vec::new();
     for n in 0..12 {
-        let address = config_server(move |_, _, _| {
+        let record = record.clone();
+        let address = config_server(move |request, _, _| {
             thread::sleep(ms(WORK_MS));
+            record.log(&format!("s-{n}: ran {}", request.id()));
             Act::Write(response("200 OK", "", &vec![b'a'; BODY_BYTES]))
         });
         targets.push(Target::up(&format!("s-{n}"), address, "monza-a"));
@@ -64,7 +66,7 @@
     let small = || thread::Builder::new().stack_size(256 * 1024);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|n| {
-            let (address, tally) = (node.address, tally.clone());
+            let (record, address, tally) = (record.clone(), node.address, tally.clone());
             let client = move || {
                 thread::sleep(ms(n as u64 * PAUSE_MS / CLIENTS as u64));
                 let mut open: Option<Client> = None;
@@ -73,9 +75,11 @@
                         thread::sleep(ms(100));
                         continue;
                     };
-                    let order =
-                        request(&fresh_id(), "order", "at_most_once", 1000, &vec![b'o'; BODY_BYTES]);
+                    let id = fresh_id();
+                    record.log(&format!("client {n}: sends {id}"));
+                    let order = request(&id, "order", "at_most_once", 1000, &vec![b'o'; BODY_BYTES]);
                     let answer = client.fetch(&order, ms(3000));
+                    record.log(&format!("client {n}: {id} got {:?}", answer.as_ref().map(Message::status)));
                     // 0 stands for no answer, on a connection that was closed before.
                     *tally
                         .lock()
--- a/review/8/case-2.rs
+++ b/review/8/case-2.rs
@@ -27,8 +27,8 @@
             let id = request.id();
             if n == 0 {
                 got.lock().unwrap().push((request.began.unwrap(), id.clone()));
-                record.log(&format!("s-0: got {id}"));
             }
+            record.log(&format!("s-{n}: got and runs {id}"));
             thread::sleep(ms(15));
             Act::Write(response("200 OK", "", format!("for {id}").as_bytes()))
         });
@@ -41,13 +41,19 @@
     let stop = flag();
     let load: Vec<_> = (0..4)
         .map(|n| {
-            let (address, stop) = (node.address, stop.clone());
+            let (record, address, stop) = (record.clone(), node.address, stop.clone());
             thread::spawn(move || {
                 while !stop.load(Ordering::SeqCst) {
                     let Ok(mut client) = Client::connect(address) else { continue };
                     for _ in 0..10 {
-                        let bytes = request(&fresh_id(), "order", "at_most_once", 1000, b"{}");
-                        let Ok(answer) = client.fetch(&bytes, ms(3000)) else { break };
+                        let id = fresh_id();
+                        record.log(&format!("client {n}: sends {id}"));
+                        let bytes = request(&id, "order", "at_most_once", 1000, b"{}");
+                        let Ok(answer) = client.fetch(&bytes, ms(3000)) else {
+                            record.log(&format!("client {n}: {id} got no whole answer"));
+                            break;
+                        };
+                        record.log(&format!("client {n}: {id} got {}", answer.status()));
                         if answer.header("connection").is_some_and(|c| c == "close") {
                             break;
                         }
--- a/review/stand-ins-2/mod.rs
+++ b/review/stand-ins-2/mod.rs
@@ -7,9 +7,8 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt as _;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -24,7 +23,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 /// Sends a signal to a process that the case has started.
@@ -32,13 +30,6 @@
     unsafe { kill(pid as i32, signal) };
 }
 
-/// Makes the close of a socket a reset (SO_LINGER with a time of 0).
-pub fn reset_on_close(stream: &TcpStream) {
-    let linger = [1_i32, 0];
-    // SOL_SOCKET is 1 and SO_LINGER is 13 on Linux, on x86-64 and arm64 alike.
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr(), 8) };
-}
-
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -61,11 +52,13 @@
 }
 
 impl Record {
-    /// Opens `record.txt` in the folder that the first argument names.
+    /// Opens the file that the first argument names, the case's `record.txt`. The program ends with its script,
+    /// however that ends.
     pub fn open() -> Record {
-        let folder = std::env::args().nth(1).unwrap_or_else(|| could_not_run("no folder given"));
-        let file = File::create(Path::new(&folder).join("record.txt"))
-            .unwrap_or_else(|e| could_not_run(&format!("record.txt: {e}")));
+        unsafe { prctl(1, SIGKILL as u64, 0, 0, 0) };
+        let path =
+            std::env::args().nth(1).unwrap_or_else(|| could_not_run("no file for the record is named"));
+        let file = File::create(&path).unwrap_or_else(|e| could_not_run(&format!("{path}: {e}")));
         let record = Record { file: Arc::new(Mutex::new(file)), start: Instant::now() };
         record.log(&format!("disruption: {}", if trouble() { "on" } else { "off (TROUBLE=0)" }));
         record
@@ -256,8 +249,6 @@
     Write(Vec<u8>),
     /// Closes the connection.
     Close,
-    /// Resets the connection.
-    Reset,
 }
 
 /// Starts a config server. `act` gets each complete request, the number of its connection and the stream.
@@ -304,10 +295,6 @@
                 }
             }
             Act::Close => return,
-            Act::Reset => {
-                reset_on_close(&stream);
-                return;
-            }
         }
     }
 }
