Count descriptors of an upgraded node only once the new process runs the node

Cause: two_processes_together_keep_the_descriptor_limit took its first sample right after the start of the new process. The start returns when the shell's memory is in place, a moment before the kernel closes the descriptors that the shell inherits from the test (334 in one sample); they are the test's, not the node's. Change: the test waits until the process runs the node's program and samples from there. The bound, what is counted and how often stay. The node holds no descriptor before that moment, so nothing is left out.

--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -544,6 +544,12 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// True once the process runs the node's program.
+    pub fn runs_program(&self) -> bool {
+        let program = std::fs::canonicalize(env!("CARGO_BIN_EXE_daleturn-node")).unwrap();
+        std::fs::read_link(format!("/proc/{}/exe", self.child.id())).is_ok_and(|running| running == program)
+    }
+
     /// Returns the peak resident memory of the process, in bytes.
     pub fn peak_memory_bytes(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/tests/node_upgrade.rs
+++ b/tests/node_upgrade.rs
@@ -187,6 +187,8 @@
         assert_eq!(client.fetch(&request("page", 900)).status(), 200);
     }
     let new = old.start_successor(&tmp.command());
+    // Until then it is a shell that may still have the descriptors of this test, which its own exec closes.
+    wait_for("the new process runs the node", || new.runs_program());
     let mut max_descriptors = 0;
     wait_for("the new process is healthy", || {
         max_descriptors = max_descriptors.max(old.open_descriptors() + new.open_descriptors());
