Finish the long answers that have begun before the process ends

Cause: one latest instant, the longest deadline and 0.5 s, ended the process with all that was open. It is right for requests without an answer; an answer that has begun has no deadline, and SIGKILL comes "no sooner than" the deadline and 0.7 s. Evidence: the record of the case shows the exit 2.5 s after SIGTERM and the backends' connections broken in the middle of a write; without SIGTERM no answer is cut. Change: unanswered requests are failed when they were before; then responses that have begun are written to their end, bounded by the clocks of long answers and by the time of the longest body at the least rate. A response counts as begun until the connection has flushed it. The state directory is released before that, and its wait blocks the event loop no more. Both new tests (exit, upgrade) failed before and pass.

--- a/src/node/client_connection.rs
+++ b/src/node/client_connection.rs
@@ -35,7 +35,7 @@
     read_at_idle: Cell<u64>,
     /// When the connection was first seen with a partially read request header.
     stuck_since: Cell<Option<Instant>>,
-    /// Progress of the streamed response, if there is one.
+    /// Progress of the latest response, if there is one.
     response_progress: Cell<Option<TransferProgress>>,
     /// True while the rest of an answered request is read and discarded.
     is_discarding: Cell<bool>,
@@ -90,6 +90,7 @@
         let fresh = self.socket.bytes_read() == 0 && self.idle_since.get().elapsed() < NEW_CONNECTION_GRACE;
         !fresh
             && !self.is_busy.get()
+            && !self.socket.is_flush_due()
             && self.socket.bytes_read() == self.read_at_idle.get()
             && self.socket.is_quiet()
     }
@@ -121,7 +122,7 @@
     }
 
     /// True if the client has not sent a request or the rest of its head, or has not taken enough of a
-    /// streamed response, within its time limit.
+    /// response, within its time limit.
     pub fn is_overdue(&self) -> bool {
         let silent = !self.has_responded.get()
             && !self.is_busy.get()
@@ -130,15 +131,24 @@
         silent || !self.is_discarding.get() && self.is_stuck(FIRST_HEADER_TIMEOUT) || self.is_stalled()
     }
 
-    /// True if a streamed response makes no progress.
+    /// True while a response is being written that has begun.
+    pub fn is_responding(&self) -> bool {
+        let is_streaming = self.is_busy.get() && self.response_progress.get().is_some();
+        is_streaming || self.socket.is_flush_due()
+    }
+
+    /// True if the response that is being written makes no progress.
     fn is_stalled(&self) -> bool {
+        if !self.is_responding() {
+            return false;
+        }
         let Some(mut progress) = self.response_progress.get() else { return false };
         let has_stalled = progress.has_stalled(self.socket.bytes_written());
         self.response_progress.set(Some(progress));
         has_stalled
     }
 
-    /// Starts the time in which the client has to take more of a streamed response.
+    /// Starts the time in which the client has to take more of a response.
     pub fn start_response(&self) {
         self.response_progress.set(Some(TransferProgress::new(self.socket.bytes_written())));
     }
@@ -159,6 +169,7 @@
     pub fn new(client: Rc<ClientConnection>) -> BusyGuard {
         client.is_busy.set(true);
         client.stuck_since.set(None);
+        client.response_progress.set(None);
         BusyGuard(client)
     }
 }
@@ -167,7 +178,11 @@
     fn drop(&mut self) {
         self.0.is_busy.set(false);
         self.0.is_request_complete.set(false);
-        self.0.response_progress.set(None);
+        // What remains of the response is written from here on.
+        if self.0.response_progress.get().is_none() {
+            self.0.start_response();
+        }
+        self.0.socket.expect_flush();
         self.0.has_responded.set(true);
         self.0.idle_since.set(Instant::now());
         self.0.read_at_idle.set(self.0.socket.bytes_read());
--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -468,12 +468,12 @@
     }
 
     /// Ends the thread after the queued jobs, within a limited time.
-    pub fn close(&self) {
+    pub async fn close(&self) {
         self.jobs.replace(None);
         let end = std::time::Instant::now() + STORE_TIMEOUT;
         let Some(thread) = self.thread.replace(None) else { return };
         while !thread.is_finished() && std::time::Instant::now() < end {
-            std::thread::sleep(Duration::from_millis(2));
+            tokio::time::sleep(Duration::from_millis(2)).await;
         }
     }
 }
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -26,6 +26,7 @@
 mod zoning;
 
 use crate::active_settings::CurrentSettings;
+use crate::body::{MAX_BODY_BYTES, body_transfer_time};
 use crate::discovery::DiscoveryWatch;
 use crate::driver::{Driver, Input, stats_window};
 use crate::durable::{Durable, RestoredState};
@@ -64,8 +65,9 @@
 /// between two writes of the learned state.
 const STORE_INTERVAL: Duration = Duration::from_secs(1);
 const INTERVALS_PER_MEMORY_WRITE: u64 = 3;
-/// SIGKILL follows SIGTERM after the longest deadline, up to this limit, plus 0.7 s. Requests that are
-/// unanswered after the deadline plus `FINAL_ANSWER_TIME` are failed.
+/// SIGKILL follows SIGTERM after the longest deadline, up to this limit, plus 0.7 s or later. Requests that
+/// are unanswered after the deadline plus `FINAL_ANSWER_TIME` are failed; responses that have begun are
+/// written to their end.
 const MAX_DEADLINE: Duration = Duration::from_secs(3);
 const FINAL_ANSWER_TIME: Duration = Duration::from_millis(400);
 /// Time for sending those failure responses.
@@ -391,8 +393,10 @@
     server.fail_remaining();
     server.close_clients(Instant::now() + FLUSH_TIME).await;
     if let Some(durable) = durable {
-        durable.close();
+        // Before the last responses, which may take long: a successor needs the directory.
+        durable.close().await;
     }
+    server.finish_responses(Instant::now() + body_transfer_time(MAX_BODY_BYTES)).await;
     Ok(())
 }
 
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -260,6 +260,15 @@
         }
     }
 
+    /// Waits until every response that has begun is written, or until `end`.
+    pub async fn finish_responses(&self, end: Instant) {
+        let is_responding = || self.clients.borrow().values().any(|c| c.is_responding());
+        while Instant::now() < end && is_responding() {
+            self.close_idle();
+            let _ = tokio::time::timeout(CLOSE_IDLE_INTERVAL, self.closed.notified()).await;
+        }
+    }
+
     /// Stops serving: from now on every response closes its connection. With `successor`, another process
     /// of this node keeps serving, so `/up` must stay positive.
     pub fn stop(&self, successor: bool) {
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -120,6 +120,8 @@
     stream: TcpStream,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// True from the time when a response is passed to the connection until all of it is written.
+    is_flush_due: Cell<bool>,
     /// True if the socket must be closed with a reset.
     must_reset: Cell<bool>,
     /// Data that was read ahead and not consumed yet.
@@ -163,11 +165,12 @@
         // Without this, small responses wait for acknowledgements. A socket that refuses the option still
         // works.
         let _ = stream.set_nodelay(true);
-        let (read, written, must_reset, ahead, has_dropped_data) = Default::default();
+        let (read, written, is_flush_due, must_reset, ahead, has_dropped_data) = Default::default();
         Socket(Rc::new(Inner {
             stream,
             read,
             written,
+            is_flush_due,
             must_reset,
             ahead,
             has_dropped_data,
@@ -229,6 +232,16 @@
         self.0.written.get()
     }
 
+    /// Records that the HTTP connection has data to write, which ends with a flush.
+    pub fn expect_flush(&self) {
+        self.0.is_flush_due.set(true);
+    }
+
+    /// True while the HTTP connection may hold data that was not written to the socket.
+    pub fn is_flush_due(&self) -> bool {
+        self.0.is_flush_due.get()
+    }
+
     /// Limits the send buffer of the operating system. A socket that refuses the option still works.
     pub fn limit_send_buffer(&self, bytes: usize) {
         let _ = socket2::SockRef::from(&self.0.stream).set_send_buffer_size(bytes);
@@ -395,6 +408,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Called once everything that was buffered is written.
+        self.0.is_flush_due.set(false);
         Poll::Ready(Ok(()))
     }
 
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -199,6 +199,17 @@
     Action::Send(http_response("200 OK", "", body))
 }
 
+/// Length of the body of [`slow_response`].
+pub const SLOW_RESPONSE_BYTES: usize = 300_000;
+
+/// A long 200 response that begins at once and ends 2.5 s later.
+pub fn slow_response() -> Action {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {SLOW_RESPONSE_BYTES}\r\n\r\n").into_bytes();
+    let first = vec![b'y'; SLOW_RESPONSE_BYTES / 3];
+    let rest = vec![b'y'; SLOW_RESPONSE_BYTES - first.len()];
+    Action::Parts(vec![(0, [head, first].concat()), (2500, rest)])
+}
+
 type Handler = Arc<dyn Fn(usize, &Message) -> Action + Send + Sync>;
 
 /// Requests and connections that fake backends have received.
--- a/tests/node_exits.rs
+++ b/tests/node_exits.rs
@@ -127,6 +127,25 @@
     assert!(node.wait_for_exit().success());
 }
 
+/// Guards against long responses that are cut off by the end of the process (review case 6).
+#[test]
+fn a_response_that_has_begun_is_finished_after_the_last_deadline() {
+    let traffic = Traffic::default();
+    let address = start_backend(&traffic, |_, _| slow_response());
+    let discovery = Discovery::start(all_up(&[address]));
+    let mut node = start_node(discovery.address, 400);
+    let mut download = Client::connect(node.address);
+    assert!(download.send(&request("page", 400)));
+    assert!(download.wait_for_data());
+    let mut idle = Client::connect(node.address);
+    assert_eq!(idle.fetch(b"GET /up HTTP/1.1\r\nHost: n\r\n\r\n").status(), 200);
+    node.terminate();
+    assert!(idle.wait_for_close(), "nothing is owed to an idle client");
+    let response = download.read_response().expect("a complete response");
+    assert_eq!((response.status(), response.body.len()), (200, SLOW_RESPONSE_BYTES));
+    assert!(node.wait_for_exit().success());
+}
+
 /// Waits until the node accepts no new connections. From then on it exits as soon as every request has its response.
 fn wait_until_not_accepting(node: &Node) {
     wait_for("the node accepts no connections", || TcpStream::connect(node.address).is_err());
--- a/tests/node_stalls.rs
+++ b/tests/node_stalls.rs
@@ -378,7 +378,7 @@
 #[test]
 fn a_request_that_waits_for_a_transfer_slot_is_answered_before_exit() {
     // Guards against a wait that outlasts the process: the request was read and its connection closed without a response.
-    let (mut node, _holders) = start_node_without_free_slot(300);
+    let (mut node, holders) = start_node_without_free_slot(300);
     let body = [0; 100_000];
     let mut client = Client::connect(node.address);
     assert!(
@@ -390,6 +390,8 @@
     node.terminate();
     assert!(client.send(&body[50_000..]));
     assert_eq!(client.read_response().expect("a response").status(), 503);
+    // The process finishes the responses that hold the slots, unless their clients leave.
+    drop(holders);
     assert!(node.wait_for_exit().success());
 }
 
--- a/tests/node_upgrade.rs
+++ b/tests/node_upgrade.rs
@@ -121,6 +121,32 @@
     assert!(new.is_running() && new.up_status() == 200);
 }
 
+/// Guards against long responses that are cut off by the end of the old process (review case 6).
+#[test]
+fn the_old_process_finishes_a_response_that_has_begun() {
+    let tmp = TempDir(scratch_dir("finishes"));
+    let traffic = Traffic::default();
+    let address = start_backend(&traffic, |_, _| slow_response());
+    let discovery = Discovery::start(all_up(&[address]));
+    let short_deadlines = |c: &mut serde_json::Value| {
+        for class in c["settings"]["classes"].as_array_mut().unwrap() {
+            (class["hardLimitMs"], class["objectiveMs"]) = (400.into(), 400.into());
+        }
+    };
+    let mut old = Node::launch(discovery.address, short_deadlines, &tmp.command());
+    wait_for("/up is 200", || old.up_status() == 200);
+    let mut download = Client::connect(old.address);
+    assert!(download.send(&request("page", 400)));
+    assert!(download.wait_for_data());
+    let new = old.start_successor(&tmp.command());
+    wait_for("the new process is healthy", || is_healthy(&new));
+    old.terminate();
+    let response = download.read_response().expect("a complete response");
+    assert_eq!((response.status(), response.body.len()), (200, SLOW_RESPONSE_BYTES));
+    assert!(old.wait_for_exit().success());
+    assert_eq!(new.up_status(), 200);
+}
+
 #[test]
 fn a_backend_cordoned_at_one_process_is_out_at_both() {
     let Fixture { tmp, traffic, old, .. } = start_fixture("both");
