Put everything that peers make a node hold on one account, within its memory limit

Cause: only streamed transfers had a limit from memory_mb. Short bodies and answers, heads, connections and their buffers were counted against nothing, and buffers doubled as they grew. Change: src/node/memory_budget.rs is one account with a budget from memory_mb. Connections and the buffers that have grown are charged as they are; heads, bodies, answers and transfers are reserved first, each up to a mark of its own, so that accepted requests finish and small ones are served while large ones wait or get 503. Under pressure reads get small, grown connections close, and who pauses within a body gets 408. Reading a request moves out of server.rs into request_reader.rs. An idle connection no longer holds the state of a request. A client's texts in the log are cut.

--- a/src/node/body_arrival.rs
+++ b/src/node/body_arrival.rs
@@ -54,6 +54,17 @@
         self.completed.notify_waiters();
     }
 
+    /// Returns when the last byte of a body that was read meanwhile had arrived, if that was noticed before.
+    pub fn completed_at(&self) -> Option<Instant> {
+        match self.arrival.get() {
+            Arrival::Complete(at) => Some(at),
+            Arrival::PossiblyComplete { since, received } if self.socket.bytes_read() <= received => {
+                Some(since)
+            }
+            Arrival::PossiblyComplete { .. } | Arrival::Incomplete => None,
+        }
+    }
+
     /// Completes once `time` has passed since the last byte arrived, and since `not_before`.
     pub async fn passed(&self, time: Duration, not_before: Instant) {
         loop {
--- a/src/node/client_response.rs
+++ b/src/node/client_response.rs
@@ -9,6 +9,9 @@
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+/// Retry delay sent to clients when the node has reached its limit of open requests, memory or transfer slots.
+pub const FULL_RETRY_AFTER_MS: f64 = 1000.0;
+
 /// Body of a response to a client.
 pub type ClientBody = Either<Full<Bytes>, StreamedResponse<BusyGuard>>;
 
@@ -46,7 +49,7 @@
 /// Converts an answer with a complete body to a response for the client.
 pub fn buffered_response(answer: Answer) -> Response<ClientBody> {
     match answer {
-        Answer::Served(BackendResponse { body: BackendBody::Complete(body), content_type }) => {
+        Answer::Served(BackendResponse { body: BackendBody::Complete(body), content_type, .. }) => {
             with_content_type(Response::new(Either::Left(Full::new(body))), content_type)
         }
         Answer::Refused { retry_after_ms } => {
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -223,8 +223,11 @@
         {
             return;
         }
-        let text =
-            |name: &str| self.forwarded.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("?");
+        let text = |name: &str| {
+            let value = self.forwarded.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("?");
+            // The text is visible ASCII, so every byte is a character.
+            &value[..value.len().min(MAX_LOGGED_HEADER_BYTES)]
+        };
         let course: Vec<String> = (self.finished_attempts.iter())
             .map(|(backend, outcome, ms)| format!("{:016x} {outcome:?} {ms:.1}", backend.0))
             .collect();
@@ -317,6 +320,8 @@
     uid: Arc<str>,
 }
 
+/// Maximum length of a client's header value in the log.
+const MAX_LOGGED_HEADER_BYTES: usize = 64;
 /// Maximum number of backends named in one log event; the event also carries the total count.
 const MAX_NAMES_PER_EVENT: usize = 8;
 
--- a/src/node/framing.rs
+++ b/src/node/framing.rs
@@ -29,6 +29,8 @@
     has_conflict: bool,
     /// Number of requests that have ended.
     completed: u64,
+    /// Number of bytes of the head that is being read.
+    head_bytes: usize,
 }
 
 impl Framing {
@@ -42,6 +44,7 @@
             length: None,
             has_conflict: false,
             completed: 0,
+            head_bytes: 0,
         }
     }
 
@@ -51,6 +54,11 @@
         self.completed
     }
 
+    /// Returns the number of bytes read of a request head that is not complete.
+    pub fn head_bytes(&self) -> usize {
+        self.head_bytes
+    }
+
     /// True if the next byte begins a request.
     pub fn is_between_requests(&self) -> bool {
         matches!(self.at, Position::Head) && !self.has_line && self.line.is_empty()
@@ -92,7 +100,11 @@
             };
             let space = MAX_LINE_BYTES.saturating_sub(self.line.len()).min(piece.len());
             self.line.extend_from_slice(&piece[..space]);
-            bytes = &bytes[piece.len() + usize::from(ended)..];
+            let consumed = piece.len() + usize::from(ended);
+            bytes = &bytes[consumed..];
+            if matches!(self.at, Position::Head) {
+                self.head_bytes += consumed;
+            }
             if ended {
                 self.finish_line();
                 self.line.clear();
@@ -118,7 +130,7 @@
                     Some(length) if length > 0 => self.at = Position::Body(length),
                     _ => self.finish_request(),
                 }
-                (self.has_line, self.chunked, self.length) = (false, false, None);
+                (self.has_line, self.chunked, self.length, self.head_bytes) = (false, false, None, 0);
             }
             Position::Head => {
                 self.has_line = true;
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -186,6 +186,7 @@
         let limit = self.pool.limit(role, stopping, limit, used);
         self.descriptors.set_limit(limit);
         self.upstream.transfer_slots.set_halved(role != Role::Alone);
+        self.upstream.memory.set_halved(role != Role::Alone);
         if before != now {
             let role = match role {
                 Role::Alone => "alone",
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -13,9 +13,11 @@
 mod handover;
 mod list_parser;
 mod log;
+mod memory_budget;
 mod operator;
 mod peers;
 mod process_files;
+mod request_reader;
 mod server;
 mod sharing;
 mod socket;
@@ -32,6 +34,7 @@
 use crate::durable::{Durable, RestoredState};
 use crate::handover::Handover;
 use crate::log::{Log, log_event};
+use crate::memory_budget::MemoryBudget;
 use crate::operator::{Lease, Operator};
 use crate::peers::Peers;
 use crate::process_files::{ProcessFiles, memory_from_json, memory_to_json};
@@ -194,10 +197,11 @@
     let current_settings = CurrentSettings::new(config.settings, config.names, config.digest);
     let settings = current_settings.get().settings.clone();
     let reserved = if operators.is_some() { operator::RESERVED_DESCRIPTORS } else { 0 };
-    let descriptors = Descriptors::new(config.sockets.saturating_sub(reserved));
+    let memory = MemoryBudget::new(config.memory);
+    let descriptors = Descriptors::new(config.sockets.saturating_sub(reserved), memory.clone());
     let upstream = Upstream::new(
         descriptors.clone(),
-        config.memory,
+        memory.clone(),
         settings.connect_timeout_ms,
         settings.conn_idle_ms,
     );
@@ -334,7 +338,7 @@
             name: config.name.clone(),
             started,
             started_ms: driver.clock.now_ms() as u64,
-            memory: config.memory,
+            memory,
         };
         spawn_local(Rc::new(operator).listen(listener));
     }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -4,6 +4,7 @@
 use crate::driver::Driver;
 use crate::durable::{Cordon, Durable};
 use crate::log::{Log, log_event};
+use crate::memory_budget::MemoryBudget;
 use crate::peers::Peers;
 use crate::server::Server;
 use crate::sharing::Sharing;
@@ -137,8 +138,8 @@
     pub started: Instant,
     /// Start of the process, in milliseconds since 1970.
     pub started_ms: u64,
-    /// Memory limit of the process in bytes.
-    pub memory: usize,
+    /// Account of the memory that clients and backends make the process hold.
+    pub memory: Rc<MemoryBudget>,
 }
 
 impl Operator {
@@ -366,7 +367,8 @@
         json["settings"] = json!({"taken": active.generation, "digest": format!("{:016x}", active.digest)});
         json["descriptors"] = json!({"used": self.descriptors.used(), "limit": self.descriptors.limit(),
             "clients": self.server.client_count(), "idle_upstream": self.upstream.idle_count()});
-        json["memory"] = json!({"used_kb": resident_kb(), "limit_kb": self.memory / 1024});
+        json["memory"] = json!({"used_kb": resident_kb(), "limit_kb": self.memory.limit() / 1024,
+            "charged_kb": self.memory.used() / 1024, "budget_kb": self.memory.total() / 1024, "refused": self.memory.refused()});
         let state = self.durable.as_ref().map(|d| d.status());
         json["state"] = json!({"kept": state.is_some(), "incarnation": state.and_then(|s| s.incarnation),
             "failed": state.map(|s| s.failed)});
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -1,40 +1,29 @@
 //! Client side of the node: accepts connections, reads requests and dispatches them.
 
-use crate::active_settings::{ActiveSettings, CurrentSettings};
-use crate::body::{MAX_BODY_BYTES, StreamedResponse, Upload, discard_body};
-use crate::body_arrival::BodyArrival;
+use crate::active_settings::CurrentSettings;
+use crate::body::StreamedResponse;
 use crate::client_connection::{BusyGuard, ClientConnection, STUCK_TIMEOUT, discard_in_background};
 use crate::client_response::{
-    ClientBody, body_timeout_response, buffered_response, closing_response, text_response,
-    with_content_type,
+    ClientBody, FULL_RETRY_AFTER_MS, body_timeout_response, buffered_response, closing_response,
+    text_response, with_content_type,
 };
 use crate::driver::{Answer, Driver};
 use crate::log::log_event;
-use crate::socket::{DescriptorSlot, Descriptors, Socket};
-use crate::transfer_slots::TransferSlot;
-use crate::upstream::{
-    BackendBody, BackendResponse, EXPIRES_HEADER, ForwardedRequest, MAX_BUFFER_BYTES,
-    MAX_BUFFERED_BODY_BYTES, Upstream,
-};
-use bytes::{Bytes, BytesMut};
-use daleturn::interface::{Effect, Request as BalancerRequest, RequestId};
-use daleturn::wire::stable_hash;
-use http_body_util::{BodyExt, Either};
-use hyper::body::{Body, Incoming};
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER, TRANSFER_ENCODING,
-    UPGRADE,
-};
-use hyper::http::request::Parts;
+use crate::request_reader::{EndSignal, ParsedRequest, RequestReader, reject};
+use crate::socket::{DescriptorSlot, Descriptors, ReclaimFn, Socket};
+use crate::upstream::{BackendBody, BackendResponse, MAX_BUFFER_BYTES, Upstream};
+use http_body_util::Either;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -45,10 +34,6 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(4);
 /// Part of the margin within which the node itself fails a request that the balancer has not finished.
 const FINAL_MARGIN: Duration = Duration::from_millis(1);
-/// Retry delay sent to clients when the node has reached its limit of open requests or transfer slots.
-const FULL_RETRY_AFTER_MS: f64 = 1000.0;
-/// Upper limit for the wait that a client may announce.
-const MAX_CLIENT_WAIT: Duration = Duration::from_secs(600);
 /// Time after which a connection is closed if the next request header is not complete, idle or not.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval of the checks for overdue clients, without and with an open request.
@@ -56,8 +41,6 @@
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after a connection's last response for the client to read it and to close its end.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time that a long body waits for a transfer slot before its request is refused.
-const SLOT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Send buffer of the operating system for a streamed response. With a larger one, a slow client would look
 /// like a stalled one.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
@@ -73,21 +56,12 @@
 /// Maximum time for accepting the connections in the backlog during a handover while the system is out of
 /// descriptors.
 const BACKLOG_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Response to a request whose head is too large for the memory that is left.
+const REFUSED_HEAD: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.000\r\n\
+    Connection: close\r\nContent-Length: 0\r\n\r\n";
 const STARTING: &str = "this process is starting";
 const STOPPING: &str = "this process is stopping";
 
-/// Hop-by-hop headers, and headers that this node generates itself.
-const UNFORWARDED_HEADERS: [HeaderName; 8] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    HeaderName::from_static("keep-alive"),
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// Registration of a client connection. Dropping it removes the connection however its task ends; otherwise
 /// its descriptor would leak.
 struct ClientRegistration {
@@ -122,15 +96,14 @@
 /// Serves the clients of the node.
 pub struct Server {
     driver: Rc<Driver>,
-    upstream: Rc<Upstream>,
-    current_settings: Rc<CurrentSettings>,
+    request_reader: RequestReader,
     descriptors: Rc<Descriptors>,
     clients: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     next_client_number: Cell<u64>,
     mode: Cell<Mode>,
     stop: Notify,
-    /// Notified when the mode becomes [`Mode::Ended`].
-    ended: Notify,
+    /// Set when the mode becomes [`Mode::Ended`].
+    ended: Rc<EndSignal>,
     closed: Notify,
 }
 
@@ -142,26 +115,30 @@
         current_settings: Rc<CurrentSettings>,
         descriptors: Rc<Descriptors>,
     ) -> Rc<Server> {
+        let ended = Rc::new(EndSignal::default());
+        let memory = upstream.memory.clone();
         let server = Rc::new(Server {
-            driver,
-            upstream,
-            current_settings,
+            driver: driver.clone(),
+            request_reader: RequestReader::new(driver, upstream, current_settings, ended.clone()),
             descriptors: descriptors.clone(),
             clients: RefCell::default(),
             next_client_number: Cell::new(0),
             mode: Cell::new(Mode::Starting),
             stop: Notify::new(),
-            ended: Notify::new(),
+            ended,
             closed: Notify::new(),
         });
-        let weak = Rc::downgrade(&server);
-        descriptors.on_pressure(Box::new(move || {
-            if let Some(server) = weak.upgrade() {
-                server.close_longest_idle();
-            }
-            // The connection's task closes it later, so no descriptor is free yet.
-            false
-        }));
+        let reclaim = |server: Weak<Server>| -> ReclaimFn {
+            Box::new(move || {
+                if let Some(server) = server.upgrade() {
+                    server.close_longest_idle();
+                }
+                // The connection's task closes it later, so nothing is free yet.
+                false
+            })
+        };
+        descriptors.on_pressure(reclaim(Rc::downgrade(&server)));
+        memory.on_pressure(reclaim(Rc::downgrade(&server)));
         server
     }
 
@@ -279,7 +256,7 @@
     /// Refuses all new requests and fails the open ones; unanswered, they would be lost.
     pub fn fail_remaining(&self) {
         self.mode.set(Mode::Ended);
-        self.ended.notify_waiters();
+        self.ended.set();
         self.driver.fail_all();
     }
 
@@ -363,7 +340,8 @@
     async fn serve_connection(self: &Rc<Self>, client: &Rc<ClientConnection>, socket: Socket) {
         let service = service_fn(|request| {
             let busy = BusyGuard::new(client.clone());
-            async move { Ok::<_, Infallible>(self.respond(busy, request).await) }
+            // Boxed, so that a connection holds the state of a request only while there is one.
+            Box::pin(async move { Ok::<_, Infallible>(self.respond(busy, request).await) })
         });
         let mut connection = pin!(
             http1::Builder::new()
@@ -383,6 +361,14 @@
                         return;
                     }
                 }
+                () = client.socket.out_of_memory() => {
+                    client.socket.memory().count_refusal();
+                    if client.socket.is_flush_due() {
+                        return;
+                    }
+                    client.socket.write_now(REFUSED_HEAD);
+                    break;
+                }
                 () = client.close.notified() => {
                     // Check again: a request may have arrived since.
                     if client.is_stuck(STUCK_TIMEOUT) || client.is_idle() && client.socket.bytes_read() == 0 {
@@ -422,7 +408,7 @@
             // nothing after it is read.
             closing_response(StatusCode::BAD_REQUEST, "the body is framed twice\n")
         } else if path == "/api" || path.starts_with("/api/") {
-            match self.read_request(&client, arrived, head, body).await {
+            match self.request_reader.read(&client, arrived, head, body).await {
                 Ok(parsed) => self.dispatch(busy, parsed).await,
                 Err(refused) => refused,
             }
@@ -436,7 +422,8 @@
         } else {
             reject(&client, arrived, body, StatusCode::METHOD_NOT_ALLOWED, "").await
         };
-        if self.mode.get() != Mode::Serving || client.socket.has_dropped_data() {
+        let must_close = client.socket.has_dropped_data() || client.socket.is_too_large();
+        if self.mode.get() != Mode::Serving || must_close {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -480,6 +467,7 @@
             Answer::Served(BackendResponse {
                 body: BackendBody::Streamed { length, pieces },
                 content_type,
+                memory: _,
             }) => {
                 busy.0.start_response();
                 busy.0.socket.limit_send_buffer(SEND_BUFFER_BYTES);
@@ -491,185 +479,14 @@
                 let body = StreamedResponse::new(length, pieces, on_waiting, on_truncated, busy);
                 with_content_type(Response::new(Either::Right(body)), content_type)
             }
-            answer => buffered_response(answer),
-        }
-    }
-
-    /// Waits for a transfer slot: for [`SLOT_TIMEOUT`], until the request's own time is over, or until this
-    /// process refuses all requests.
-    async fn take_transfer_slot(
-        &self,
-        arrival: &BodyArrival,
-        arrived: Instant,
-        wait: Duration,
-    ) -> Option<TransferSlot> {
-        let ended = self.ended.notified();
-        if self.mode.get() == Mode::Ended {
-            return None;
-        }
-        tokio::select! {
-            biased;
-            slot = self.upstream.transfer_slots.take(SLOT_TIMEOUT) => slot,
-            () = arrival.passed(wait, arrived) => None,
-            () = ended => None,
-        }
-    }
-
-    /// Reads and validates a request. Invalid requests are answered here and reach no backend.
-    async fn read_request(
-        &self,
-        client: &Rc<ClientConnection>,
-        arrived: Instant,
-        head: Parts,
-        body: Incoming,
-    ) -> Result<ParsedRequest, Response<ClientBody>> {
-        let header = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
-        if header("x-trace-id").is_none_or(str::is_empty) {
-            let text = "X-Trace-Id is missing\n";
-            return Err(reject(client, arrived, body, StatusCode::BAD_REQUEST, text).await);
-        }
-        let active = self.current_settings.get();
-        let class = active.names.class(header("x-qos").unwrap_or_default());
-        let known = active.settings.classes.get(class);
-        let keyed = head.headers.contains_key("idempotency-key");
-        // The class determines how often the request may run. If the method contradicts it, either
-        // interpretation could run a request twice.
-        let agrees = match known.map(|c| c.effect) {
-            Some(Effect::Safe) => head.method == Method::GET,
-            Some(Effect::Keyed(_)) => head.method == Method::POST && keyed,
-            Some(Effect::Unsafe) => head.method == Method::POST && !keyed,
-            None => matches!(head.method, Method::GET | Method::POST),
-        };
-        if !agrees {
-            let text = "method and Idempotency-Key do not agree with the class\n";
-            return Err(reject(client, arrived, body, StatusCode::BAD_REQUEST, text).await);
-        }
-        let shortest =
-            || active.settings.classes.iter().map(|c| c.deadline_ms).fold(f64::INFINITY, f64::min);
-        let class_wait = known.map_or_else(shortest, |c| c.deadline_ms);
-        let wait = header(EXPIRES_HEADER)
-            .and_then(|v| v.trim().parse::<u64>().ok())
-            .map_or(Duration::from_secs_f64(class_wait.clamp(0.0, 6e5) / 1000.0), Duration::from_millis)
-            .min(MAX_CLIENT_WAIT);
-        let request_number = client.socket.request_number();
-        let body_read = read_body(client, arrived, body).await;
-        // The deadline counts from the last byte of the request; a streamed one has not ended yet.
-        let arrived = Instant::now();
-        let (body, upload) = match body_read {
-            BodyRead::Complete(body) => (body, None),
-            BodyRead::Long(first, rest) => {
-                let arrival = BodyArrival::new(client.socket.clone(), request_number);
-                let Some(slot) = self.take_transfer_slot(&arrival, arrived, wait).await else {
-                    self.driver.count_early_refusal(active.names.class_name(class));
-                    discard_in_background(client, discard_body(rest));
-                    return Err(buffered_response(Answer::Refused { retry_after_ms: FULL_RETRY_AFTER_MS }));
-                };
-                let length = first.len();
-                (first, Some(Upload::new(rest, length, arrival, slot)))
-            }
-            BodyRead::TooLong(rest) => {
-                discard_in_background(client, discard_body(rest));
-                return Err(closing_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n"));
-            }
-            BodyRead::Aborted => {
-                return Err(closing_response(StatusCode::BAD_REQUEST, "the body cannot be read\n"));
-            }
-            BodyRead::TooSlow => {
-                return Err(body_timeout_response());
+            mut answer => {
+                if let Answer::Served(BackendResponse { memory, .. }) = &mut answer
+                    && let Some(memory) = memory.take()
+                {
+                    busy.0.socket.hold_until_flushed(memory);
+                }
+                buffered_response(answer)
             }
-        };
-        let effort = header("x-size-hint").and_then(|v| v.trim().parse::<f64>().ok());
-        let request = BalancerRequest {
-            id: RequestId(0),
-            class,
-            tenant: header("x-customer").and_then(|t| active.names.tenant(t)),
-            key: header("x-object").map(stable_hash),
-            deadline_ms: 0.0,
-            effort_ms: effort.filter(|e| e.is_finite()).map(|us| us / 1000.0),
-            retry: header("x-second-try") == Some("1"),
-        };
-        let target =
-            head.uri.path_and_query().map_or_else(|| Uri::from_static("/"), |p| Uri::from(p.clone()));
-        let forwarded = ForwardedRequest {
-            method: head.method,
-            target,
-            headers: forwarded_headers(head.headers),
-            body,
-            upload,
-        };
-        Ok(ParsedRequest { request, active, forwarded, arrived, wait })
-    }
-}
-
-/// Valid request of a client, ready to be submitted.
-struct ParsedRequest {
-    request: BalancerRequest,
-    /// Settings by which the request's class number was assigned.
-    active: Rc<ActiveSettings>,
-    forwarded: ForwardedRequest,
-    arrived: Instant,
-    wait: Duration,
-}
-
-/// Result of reading a request body, as far as needed before the request is submitted.
-enum BodyRead {
-    Complete(Bytes),
-    /// First part of a long body, more than is buffered completely, and the rest of it.
-    Long(Bytes, Incoming),
-    /// The announced length exceeds the limit.
-    TooLong(Incoming),
-    /// The client aborted the body.
-    Aborted,
-    /// The client sent the body too slowly.
-    TooSlow,
-}
-
-/// Reads a request body up to the limit of complete bodies, within its time limit.
-async fn read_body(client: &ClientConnection, arrived: Instant, mut body: Incoming) -> BodyRead {
-    if body.size_hint().lower() > MAX_BODY_BYTES {
-        return BodyRead::TooLong(body);
-    }
-    let mut received = BytesMut::new();
-    loop {
-        let until = client.body_deadline(arrived, received.len() as u64);
-        let frame = match tokio::time::timeout_at(until.into(), body.frame()).await {
-            Err(_) => return BodyRead::TooSlow,
-            Ok(None) => return BodyRead::Complete(received.freeze()),
-            Ok(Some(Err(_))) => return BodyRead::Aborted,
-            Ok(Some(Ok(frame))) => frame,
-        };
-        if let Ok(data) = frame.into_data() {
-            received.extend_from_slice(&data);
         }
-        if received.len() > MAX_BUFFERED_BODY_BYTES {
-            return BodyRead::Long(received.freeze(), body);
-        }
-    }
-}
-
-/// Rejects an invalid request after reading its body. Closing a socket with unread data resets the
-/// connection, and the response in transit would be lost.
-async fn reject(
-    client: &Rc<ClientConnection>,
-    arrived: Instant,
-    body: Incoming,
-    status: StatusCode,
-    text: &'static str,
-) -> Response<ClientBody> {
-    match read_body(client, arrived, body).await {
-        BodyRead::Complete(_) => text_response(status, text),
-        BodyRead::Long(_, rest) | BodyRead::TooLong(rest) => {
-            discard_in_background(client, discard_body(rest));
-            closing_response(status, text)
-        }
-        BodyRead::Aborted | BodyRead::TooSlow => closing_response(StatusCode::BAD_REQUEST, text),
-    }
-}
-
-/// Returns the headers to forward to a backend.
-fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
-    for name in UNFORWARDED_HEADERS {
-        headers.remove(name);
     }
-    headers
 }
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -2,7 +2,8 @@
 
 use crate::framing::Framing;
 use crate::log::log_event;
-use bytes::BytesMut;
+use crate::memory_budget::{CONNECTION_BYTES, MemoryBudget, MemoryCharge};
+use bytes::{BufMut, BytesMut};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, ErrorKind, IoSlice};
@@ -24,10 +25,14 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes kept of what a client sends behind an open request: enough for a request or two.
 const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
+/// Size of the buffers that the memory of a connection includes.
+const SMALL_BUFFER_BYTES: usize = 8 * 1024;
+/// Size of one read while memory is tight; less than what makes the HTTP library use larger buffers.
+const TIGHT_READ_BYTES: usize = 4 * 1024;
 
-/// Closes something idle. Returns true if a descriptor was freed at once; false if none was, or if one will
-/// be freed soon.
-type ReclaimFn = Box<dyn Fn() -> bool>;
+/// Closes something idle. Returns true if its descriptor and memory were freed at once; false if none were,
+/// or if some will be freed soon.
+pub type ReclaimFn = Box<dyn Fn() -> bool>;
 
 /// Counts the descriptors of client, backend and discovery sockets against a limit.
 pub struct Descriptors {
@@ -35,16 +40,20 @@
     limit: Cell<usize>,
     freed: Notify,
     reclaim: RefCell<Vec<ReclaimFn>>,
+    memory: Rc<MemoryBudget>,
 }
 
 impl Descriptors {
-    /// Creates the counter of a process that may hold `sockets` descriptors in total.
-    pub fn new(sockets: usize) -> Rc<Descriptors> {
+    /// Creates the counter of a process that may hold `sockets` descriptors in total. The limit is lower if
+    /// the memory does not suffice for as many connections.
+    pub fn new(sockets: usize, memory: Rc<MemoryBudget>) -> Rc<Descriptors> {
+        let limit = sockets.saturating_sub(UNCOUNTED_DESCRIPTORS).min(memory.max_connections()).max(8);
         Rc::new(Descriptors {
             used: Cell::new(0),
-            limit: Cell::new(sockets.saturating_sub(UNCOUNTED_DESCRIPTORS).max(8)),
+            limit: Cell::new(limit),
             freed: Notify::new(),
             reclaim: RefCell::new(Vec::new()),
+            memory,
         })
     }
 
@@ -95,7 +104,10 @@
         loop {
             if self.used.get() < part(self.limit.get()) {
                 self.used.set(self.used.get() + 1);
-                return DescriptorSlot(self.clone());
+                return DescriptorSlot {
+                    descriptors: self.clone(),
+                    memory: self.memory.charge(CONNECTION_BYTES),
+                };
             }
             if !self.reclaim_one() {
                 // The wait is bounded because what was asked to close may have become busy meanwhile.
@@ -105,13 +117,39 @@
     }
 }
 
-/// One counted descriptor, returned when dropped.
-pub struct DescriptorSlot(Rc<Descriptors>);
+/// One counted descriptor and the memory of its connection, returned when dropped.
+pub struct DescriptorSlot {
+    descriptors: Rc<Descriptors>,
+    memory: MemoryCharge,
+}
 
 impl Drop for DescriptorSlot {
     fn drop(&mut self) {
-        self.0.used.set(self.0.used.get().saturating_sub(1));
-        self.0.freed.notify_one();
+        let descriptors = &self.descriptors;
+        descriptors.used.set(descriptors.used.get().saturating_sub(1));
+        descriptors.freed.notify_one();
+    }
+}
+
+/// Size of the HTTP connection's read buffer, as its reads show it.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReadBufferSize {
+    /// Size of the buffer, with the part that was consumed already.
+    allocated: usize,
+    /// Space that the next read finds unless the buffer changes.
+    space: usize,
+}
+
+impl ReadBufferSize {
+    /// A read is offered `space` bytes, behind `kept` bytes of an incomplete head.
+    fn offered(self, space: usize, kept: usize) -> ReadBufferSize {
+        let is_same = space == self.space;
+        ReadBufferSize { allocated: if is_same { self.allocated } else { space + kept }, space }
+    }
+
+    /// A read has filled `bytes` bytes.
+    fn filled(self, bytes: usize) -> ReadBufferSize {
+        ReadBufferSize { space: self.space.saturating_sub(bytes), ..self }
     }
 }
 
@@ -129,7 +167,15 @@
     has_dropped_data: Cell<bool>,
     /// Set for client sockets, whose requests are checked for conflicting framing.
     framing: Option<RefCell<Framing>>,
-    _slot: DescriptorSlot,
+    /// Read buffer of the HTTP connection.
+    read_buffer: Cell<ReadBufferSize>,
+    /// Largest head that was written; the HTTP connection keeps the buffer.
+    written_head: Cell<usize>,
+    /// Memory of responses that are being written.
+    unwritten: RefCell<Vec<MemoryCharge>>,
+    /// Notified when a head needs more memory than there is.
+    out_of_memory: Notify,
+    slot: DescriptorSlot,
 }
 
 /// How much of a request's body has reached this machine.
@@ -165,17 +211,20 @@
         // Without this, small responses wait for acknowledgements. A socket that refuses the option still
         // works.
         let _ = stream.set_nodelay(true);
-        let (read, written, is_flush_due, must_reset, ahead, has_dropped_data) = Default::default();
         Socket(Rc::new(Inner {
             stream,
-            read,
-            written,
-            is_flush_due,
-            must_reset,
-            ahead,
-            has_dropped_data,
+            read: Cell::default(),
+            written: Cell::default(),
+            is_flush_due: Cell::default(),
+            must_reset: Cell::default(),
+            ahead: RefCell::default(),
+            has_dropped_data: Cell::default(),
             framing,
-            _slot: slot,
+            read_buffer: Cell::default(),
+            written_head: Cell::default(),
+            unwritten: RefCell::default(),
+            out_of_memory: Notify::new(),
+            slot,
         }))
     }
 
@@ -237,6 +286,52 @@
         self.0.is_flush_due.set(true);
     }
 
+    /// Keeps the memory of a response on the account until it is written.
+    pub fn hold_until_flushed(&self, memory: MemoryCharge) {
+        self.0.unwritten.borrow_mut().push(memory);
+    }
+
+    /// Returns the account of the memory of this connection.
+    pub fn memory(&self) -> &Rc<MemoryBudget> {
+        self.0.slot.memory.budget()
+    }
+
+    /// True if the connection should be closed for the sake of its buffers.
+    pub fn is_too_large(&self) -> bool {
+        self.memory().is_exhausted() && self.grown_bytes() > 0
+    }
+
+    /// Returns the size of the connection's buffers beyond the smallest ones.
+    fn grown_bytes(&self) -> usize {
+        let head = self.0.framing.as_ref().map_or(0, |f| f.borrow().head_bytes());
+        let beyond_small = |bytes: usize| bytes.saturating_sub(SMALL_BUFFER_BYTES);
+        beyond_small(self.0.read_buffer.get().allocated.max(head))
+            + beyond_small(self.0.written_head.get())
+            + self.0.ahead.borrow().len()
+    }
+
+    /// Updates the charge for the memory of this connection.
+    fn update_charge(&self) {
+        self.0.slot.memory.resize(CONNECTION_BYTES + self.grown_bytes());
+    }
+
+    /// Completes when a request head needs more memory than there is; nothing more is read then.
+    pub async fn out_of_memory(&self) {
+        self.0.out_of_memory.notified().await;
+    }
+
+    /// True if the request head that is being read must not grow.
+    fn is_head_refused(&self) -> bool {
+        let Some(framing) = &self.0.framing else { return false };
+        framing.borrow().head_bytes() >= TIGHT_READ_BYTES && self.memory().is_exhausted()
+    }
+
+    /// Writes a short message at once, as far as the system takes it, past the HTTP connection.
+    pub fn write_now(&self, bytes: &[u8]) {
+        // Fails only on a connection that is already broken.
+        let _ = self.0.stream.try_write(bytes);
+    }
+
     /// True while the HTTP connection may hold data that was not written to the socket.
     pub fn is_flush_due(&self) -> bool {
         self.0.is_flush_due.get()
@@ -268,9 +363,15 @@
     /// `MAX_READ_AHEAD_BYTES` bytes are kept. The rest is dropped, after which the connection's data cannot
     /// be parsed any more.
     pub fn read_ahead(&self) {
+        self.read_ahead_pieces();
+        self.update_charge();
+    }
+
+    fn read_ahead_pieces(&self) {
         let mut ahead = self.0.ahead.borrow_mut();
+        let max = if self.memory().is_exhausted() { ahead.len() } else { MAX_READ_AHEAD_BYTES };
         for _ in 0..MAX_DISCARDED_BYTES / READ_BYTES {
-            let space = MAX_READ_AHEAD_BYTES.saturating_sub(ahead.len()).min(READ_BYTES);
+            let space = max.saturating_sub(ahead.len()).min(READ_BYTES);
             let mut piece = [0; READ_BYTES];
             let into = if space > 0 { &mut piece[..space] } else { &mut piece[..] };
             match self.0.stream.try_read(into) {
@@ -335,22 +436,34 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
+        let head = self.0.framing.as_ref().map_or(0, |f| f.borrow().head_bytes());
+        self.0.read_buffer.set(self.0.read_buffer.get().offered(buf.remaining(), head));
         let mut ahead = self.0.ahead.borrow_mut();
         if !ahead.is_empty() {
             let n = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead.split_to(n));
+            if ahead.is_empty() {
+                *ahead = BytesMut::new();
+            }
+            drop(ahead);
             self.record_read(&buf.filled()[before..]);
             return Poll::Ready(Ok(()));
         }
+        drop(ahead);
+        self.update_charge();
+        if self.is_head_refused() {
+            self.0.out_of_memory.notify_one();
+            return Poll::Pending;
+        }
         if self.0.has_dropped_data.get() {
             // Received data was dropped, so the connection cannot continue; it will be closed.
             return Poll::Pending;
         }
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    buf.advance(n);
+            let limit = if self.memory().is_tight() { TIGHT_READ_BYTES } else { usize::MAX };
+            match self.0.stream.try_read_buf(&mut (&mut *buf).limit(limit)) {
+                Ok(_) => {
                     self.record_read(&buf.filled()[before..]);
                     return Poll::Ready(Ok(()));
                 }
@@ -368,6 +481,14 @@
             framing.borrow_mut().process(bytes);
         }
         self.0.read.set(self.0.read.get() + bytes.len() as u64);
+        self.0.read_buffer.set(self.0.read_buffer.get().filled(bytes.len()));
+        self.update_charge();
+    }
+
+    /// Records that a head of this size is written, for which the HTTP connection keeps its buffer.
+    pub fn note_written_head(&self, bytes: usize) {
+        self.0.written_head.set(self.0.written_head.get().max(bytes));
+        self.update_charge();
     }
 
     /// Writes once the socket is writable, and counts the bytes written.
@@ -410,6 +531,7 @@
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called once everything that was buffered is written.
         self.0.is_flush_due.set(false);
+        drop(self.0.unwritten.take());
         Poll::Ready(Ok(()))
     }
 
--- a/src/node/transfer_slots.rs
+++ b/src/node/transfer_slots.rs
@@ -1,8 +1,9 @@
 //! Limits the number of concurrent streamed transfers, because each may fill buffers at both ends.
 
+use crate::memory_budget::{MemoryBudget, MemoryCharge, Purpose};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Semaphore;
 
 /// Memory in bytes that one streamed transfer can fill: buffers and pieces at both ends.
@@ -18,17 +19,19 @@
     /// Number of slots in use that are withdrawn when they become free.
     to_withdraw: Cell<usize>,
     is_halved: Cell<bool>,
+    memory: Rc<MemoryBudget>,
 }
 
 impl TransferSlots {
-    /// Creates the slots of a process with this memory limit in bytes.
-    pub fn new(memory: usize) -> Rc<TransferSlots> {
-        let total = (memory / MEMORY_DIVISOR / TRANSFER_BYTES).max(2);
+    /// Creates the slots of a process with this memory budget.
+    pub fn new(memory: Rc<MemoryBudget>) -> Rc<TransferSlots> {
+        let total = (memory.limit() / MEMORY_DIVISOR / TRANSFER_BYTES).max(2);
         Rc::new(TransferSlots {
             free: Semaphore::new(total),
             total,
             to_withdraw: Cell::new(0),
             is_halved: Cell::new(false),
+            memory,
         })
     }
 
@@ -46,22 +49,27 @@
         }
     }
 
-    /// Takes a slot if one is or becomes free within `wait`.
+    /// Takes a slot if one and its memory are or become free within `wait`.
     pub async fn take(self: &Rc<Self>, wait: Duration) -> Option<TransferSlot> {
-        let permit = tokio::time::timeout(wait, self.free.acquire()).await.ok()?.ok()?;
+        let until = Instant::now() + wait;
+        let permit = tokio::time::timeout_at(until.into(), self.free.acquire()).await.ok()?.ok()?;
+        let memory = self.memory.reserve(Purpose::Transfer, TRANSFER_BYTES, until).await?;
         permit.forget();
-        Some(TransferSlot(self.clone()))
+        Some(TransferSlot { slots: self.clone(), _memory: memory })
     }
 }
 
 /// Slot of a streamed transfer, returned when dropped.
-pub struct TransferSlot(Rc<TransferSlots>);
+pub struct TransferSlot {
+    slots: Rc<TransferSlots>,
+    _memory: MemoryCharge,
+}
 
 impl Drop for TransferSlot {
     fn drop(&mut self) {
-        match self.0.to_withdraw.get().checked_sub(1) {
-            Some(to_withdraw) => self.0.to_withdraw.set(to_withdraw),
-            None => self.0.free.add_permits(1),
+        match self.slots.to_withdraw.get().checked_sub(1) {
+            Some(to_withdraw) => self.slots.to_withdraw.set(to_withdraw),
+            None => self.slots.free.add_permits(1),
         }
     }
 }
@@ -72,7 +80,7 @@
 
     #[tokio::test]
     async fn two_processes_get_half_of_the_slots_each() {
-        let slots = TransferSlots::new(8 * MEMORY_DIVISOR * TRANSFER_BYTES);
+        let slots = TransferSlots::new(MemoryBudget::new(8 * MEMORY_DIVISOR * TRANSFER_BYTES));
         let mut held = Vec::new();
         for _ in 0..6 {
             held.extend(slots.take(Duration::ZERO).await);
--- a/src/node/upstream.rs
+++ b/src/node/upstream.rs
@@ -6,13 +6,14 @@
 //! each streamed body occupies a transfer slot.
 
 use crate::body::{Piece, RequestBody, Upload};
-use crate::socket::{DescriptorSlot, Descriptors, Socket};
+use crate::memory_budget::{MemoryBudget, MemoryCharge, Purpose};
+use crate::socket::{DescriptorSlot, Descriptors, ReclaimFn, Socket};
 use crate::transfer_progress::TransferProgress;
 use crate::transfer_slots::TransferSlots;
 use bytes::{Bytes, BytesMut};
 use daleturn::interface::{BackendId, Load, Outcome};
 use daleturn::wire;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -25,9 +26,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Poll;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -59,6 +61,10 @@
 /// Send buffer of the operating system for a streamed request. With a larger one, a backend that reads slowly
 /// would look like one that has stopped.
 const UPLOAD_SEND_BUFFER_BYTES: usize = 256 * 1024;
+/// Maximum size of the body of a probe's response, which is a load report at most.
+const MAX_PROBE_BODY_BYTES: usize = 16 * 1024;
+/// Memory reserved for a response of unknown length that may be buffered: its buffer doubles as it grows.
+const UNKNOWN_LENGTH_BYTES: usize = 2 * MAX_BUFFERED_BODY_BYTES;
 /// Time after which a probe, including its connect, counts as timed out.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -74,6 +80,8 @@
     pub body: Bytes,
     /// Remainder of a streamed body.
     pub upload: Option<Rc<Upload>>,
+    /// Memory of the head and of the buffered body, held until the last attempt ends.
+    pub _memory: Option<MemoryCharge>,
 }
 
 /// Body of a backend's response.
@@ -97,6 +105,8 @@
     pub body: BackendBody,
     /// Value of the `Content-Type` header, if any.
     pub content_type: Option<HeaderValue>,
+    /// Memory of a buffered body.
+    pub memory: Option<MemoryCharge>,
 }
 
 /// Result of an attempt or a probe.
@@ -119,6 +129,20 @@
     }
 }
 
+/// Reason for which this node gave up a response.
+#[derive(Debug, Error)]
+enum ResponseError {
+    /// The response has two framings.
+    #[error("the answer is framed twice")]
+    FramedTwice,
+    /// The body of a response that is not forwarded is too long.
+    #[error("the body of an error is too long")]
+    TooLong,
+    /// The memory for the response did not become free in time.
+    #[error("no memory for the answer")]
+    OutOfMemory,
+}
+
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 type PolledConnection = Pin<Box<Connection<TokioIo<Socket>, RequestBody>>>;
 
@@ -278,6 +302,8 @@
     idle_timeout: Cell<Duration>,
     /// Slots for streamed transfers.
     pub transfer_slots: Rc<TransferSlots>,
+    /// Account of the memory that clients and backends make this process hold.
+    pub memory: Rc<MemoryBudget>,
 }
 
 /// True if the process or the system is out of file descriptors (EMFILE, ENFILE).
@@ -293,7 +319,7 @@
     /// Creates an empty pool.
     pub fn new(
         descriptors: Rc<Descriptors>,
-        memory: usize,
+        memory: Rc<MemoryBudget>,
         connect_timeout_ms: f64,
         conn_idle_ms: f64,
     ) -> Rc<Upstream> {
@@ -302,10 +328,14 @@
             descriptors: descriptors.clone(),
             connect_timeout: Cell::new(duration_from_ms(connect_timeout_ms)),
             idle_timeout: Cell::new(duration_from_ms(conn_idle_ms * IDLE_FRACTION)),
-            transfer_slots: TransferSlots::new(memory),
+            transfer_slots: TransferSlots::new(memory.clone()),
+            memory: memory.clone(),
         });
-        let weak = Rc::downgrade(&upstream);
-        descriptors.on_pressure(Box::new(move || weak.upgrade().is_some_and(|u| u.close_oldest_idle())));
+        let reclaim = |upstream: Weak<Upstream>| -> ReclaimFn {
+            Box::new(move || upstream.upgrade().is_some_and(|u| u.close_oldest_idle()))
+        };
+        descriptors.on_pressure(reclaim(Rc::downgrade(&upstream)));
+        memory.on_pressure(reclaim(Rc::downgrade(&upstream)));
         upstream
     }
 
@@ -367,7 +397,7 @@
 
     /// Returns a connection to the pool after an exchange if it can carry another one.
     pub fn keep_connection(&self, backend: BackendId, conn: HttpConnection) {
-        if conn.is_reusable() && conn.sender.is_ready() {
+        if !conn.socket.is_too_large() && conn.is_reusable() && conn.sender.is_ready() {
             let idle = Idle { conn, since: Instant::now() };
             self.idle.borrow_mut().entry(backend).or_default().push(idle);
         }
@@ -425,6 +455,7 @@
         let written = conn.socket.bytes_written();
         let remaining = until.saturating_duration_since(Instant::now());
         let request = spec.forwarded.to_http(spec.address, remaining);
+        conn.socket.note_written_head(head_text_bytes(request.headers()));
         // The backend cannot have processed the request before its last byte, if streamed, or before its
         // first byte otherwise.
         let never_ran = |conn: &HttpConnection| match &spec.forwarded.upload {
@@ -445,15 +476,16 @@
         let exchange = async {
             let (head, mut body) = conn.send_request(request).await?.into_parts();
             if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
-                return Err("the answer is framed twice".into());
-            }
-            if head.status != StatusCode::OK {
-                let body = conn.read_body(body, MAX_BUFFERED_BODY_BYTES).await?;
-                return Ok::<_, BoxError>((head, ResponseStart::Complete(body)));
+                return Err(ResponseError::FramedTwice.into());
             }
             let from = spec.forwarded.upload.as_ref().and_then(|u| u.finished_at()).unwrap_or(started_at);
-            let first = conn.read_start(&mut body, from + (spec.timeout / 2).min(MAX_BUFFERING)).await?;
-            Ok((head, first.with(body)))
+            let is_forwarded = head.status == StatusCode::OK;
+            let stream_at = is_forwarded.then(|| from + (spec.timeout / 2).min(MAX_BUFFERING));
+            let first = conn.read_start(&mut body, from + spec.timeout, stream_at).await?;
+            if !is_forwarded && matches!(first, ResponseStart::Streamed { .. }) {
+                return Err(ResponseError::TooLong.into());
+            }
+            Ok::<_, BoxError>((head, first.with(body)))
         };
         let http_response = tokio::select! {
             biased;
@@ -471,11 +503,14 @@
             Err(e) => return (self.failure_result(spec, never_ran(&conn), &e), None),
         };
         match first {
-            ResponseStart::Complete(body) => {
-                let result = parse_response(Response::from_parts(head, body));
+            ResponseStart::Complete { body, memory } => {
+                let mut result = parse_response(Response::from_parts(head, body));
+                if let Some(response) = &mut result.response {
+                    response.memory = memory;
+                }
                 (AttemptResult { took, ..result }, Some(conn))
             }
-            ResponseStart::Streamed { first, rest } => {
+            ResponseStart::Streamed { first, rest, memory } => {
                 // The attempt's timeout also limits the wait for a transfer slot.
                 let slot = match &spec.forwarded.upload {
                     Some(_) => None,
@@ -488,6 +523,8 @@
                     // No slot is free: a limit of this node, which does not count against the backend.
                     return (Outcome::Cancelled.into(), None);
                 }
+                // The memory of the transfer covers the first part.
+                drop(memory);
                 let took = took.unwrap_or_else(|| started_at.elapsed());
                 let (pieces, receiver) = mpsc::channel(1);
                 let length = rest.size_hint().exact().map(|left| left + first.len() as u64);
@@ -495,7 +532,7 @@
                 let content_type = head.headers.get(CONTENT_TYPE).cloned();
                 // Cannot fail: the channel is new and empty.
                 let _ = pieces.try_send(Piece::Data(first));
-                started(BackendResponse { body, content_type }, took);
+                started(BackendResponse { body, content_type, memory: None }, took);
                 let outcome = conn.forward_body(rest, pieces).await;
                 drop(slot);
                 let is_complete = outcome == Outcome::Done;
@@ -519,9 +556,12 @@
         if never_ran {
             return Outcome::NotConnected.into();
         }
-        // A partial or oversized response cannot be used, but the request may have been processed.
-        if e.is::<LengthLimitError>() {
-            return Outcome::Error.into();
+        match e.downcast_ref() {
+            // A partial or oversized response cannot be used, but the request may have been processed.
+            Some(ResponseError::TooLong) => return Outcome::Error.into(),
+            // A limit of this node, which does not count against the backend.
+            Some(ResponseError::OutOfMemory) => return Outcome::Cancelled.into(),
+            Some(ResponseError::FramedTwice) | None => {}
         }
         self.close_idle(spec.backend);
         Outcome::Reset.into()
@@ -546,10 +586,11 @@
             headers: HeaderMap::new(),
             body: Bytes::new(),
             upload: None,
+            _memory: None,
         };
         let remaining = until.saturating_duration_since(Instant::now());
         let request = forwarded.to_http(address, remaining);
-        match tokio::time::timeout(remaining, conn.exchange(request, MAX_BUFFERED_BODY_BYTES)).await {
+        match tokio::time::timeout(remaining, conn.exchange(request, MAX_PROBE_BODY_BYTES)).await {
             Err(_) => {
                 self.close_idle(backend);
                 (Outcome::TimedOut.into(), None)
@@ -570,46 +611,73 @@
 
 /// Start of a response body: either all of it, or enough to know that it is long.
 enum ResponseStart<B = ()> {
-    Complete(Bytes),
-    Streamed { first: Bytes, rest: B },
+    Complete { body: Bytes, memory: Option<MemoryCharge> },
+    Streamed { first: Bytes, rest: B, memory: Option<MemoryCharge> },
 }
 
 impl ResponseStart {
     fn with(self, rest: Incoming) -> ResponseStart<Incoming> {
         match self {
-            ResponseStart::Complete(body) => ResponseStart::Complete(body),
-            ResponseStart::Streamed { first, rest: () } => ResponseStart::Streamed { first, rest },
+            ResponseStart::Complete { body, memory } => ResponseStart::Complete { body, memory },
+            ResponseStart::Streamed { first, memory, .. } => {
+                ResponseStart::Streamed { first, rest, memory }
+            }
         }
     }
 }
 
 impl HttpConnection {
     /// Reads until the body is complete or known to be long. A body of unknown length counts as long after
-    /// `until`.
-    async fn read_start(&mut self, body: &mut Incoming, until: Instant) -> Result<ResponseStart, BoxError> {
-        let is_announced_long = body.size_hint().lower() > MAX_BUFFERED_BODY_BYTES as u64;
-        let is_length_known = body.size_hint().exact().is_some();
-        let mut first = BytesMut::new();
-        loop {
-            let chunk = if is_length_known || first.is_empty() {
-                self.next_chunk(body).await?
-            } else {
-                match tokio::time::timeout_at(until.into(), self.next_chunk(body)).await {
+    /// `stream_at`, if that is given. Memory for buffering is reserved first, until `memory_until` at most.
+    async fn read_start(
+        &mut self,
+        body: &mut Incoming,
+        memory_until: Instant,
+        stream_at: Option<Instant>,
+    ) -> Result<ResponseStart, BoxError> {
+        let length = body.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES) {
+            let first = self.next_chunk(body).await?.unwrap_or_default();
+            return Ok(ResponseStart::Streamed { first, rest: (), memory: None });
+        }
+        let memory = self.reserve_response(length.unwrap_or(UNKNOWN_LENGTH_BYTES), memory_until).await?;
+        let mut first = BytesMut::with_capacity(length.unwrap_or(0));
+        let is_complete = loop {
+            let next = self.next_chunk(body);
+            let chunk = match stream_at.filter(|_| length.is_none() && !first.is_empty()) {
+                None => next.await?,
+                Some(stream_at) => match tokio::time::timeout_at(stream_at.into(), next).await {
                     Ok(chunk) => chunk?,
-                    Err(_) => return Ok(ResponseStart::Streamed { first: first.freeze(), rest: () }),
-                }
+                    Err(_) => break false,
+                },
             };
-            match chunk {
-                None => return Ok(ResponseStart::Complete(first.freeze())),
-                Some(chunk) if is_announced_long => {
-                    return Ok(ResponseStart::Streamed { first: chunk, rest: () });
-                }
-                Some(chunk) => first.extend_from_slice(&chunk),
-            }
+            let Some(chunk) = chunk else { break true };
+            first.extend_from_slice(&chunk);
             if first.len() > MAX_BUFFERED_BODY_BYTES {
-                return Ok(ResponseStart::Streamed { first: first.freeze(), rest: () });
+                break false;
             }
+        };
+        if let Some(memory) = &memory {
+            memory.resize(first.capacity());
         }
+        let first = first.freeze();
+        Ok(match is_complete {
+            true => ResponseStart::Complete { body: first, memory },
+            false => ResponseStart::Streamed { first, rest: (), memory },
+        })
+    }
+
+    /// Reserves memory for a response; `None` if it needs none.
+    async fn reserve_response(
+        &self,
+        bytes: usize,
+        until: Instant,
+    ) -> Result<Option<MemoryCharge>, ResponseError> {
+        if bytes == 0 {
+            return Ok(None);
+        }
+        let memory = self.socket.memory().clone().reserve(Purpose::Response, bytes, until).await;
+        memory.map(Some).ok_or(ResponseError::OutOfMemory)
     }
 
     /// Forwards the rest of a response, each piece after the previous one was taken.
@@ -656,6 +724,11 @@
     }
 }
 
+/// Returns the length of the names and values of headers.
+pub fn head_text_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum()
+}
+
 /// Parses the load report in the headers of a response.
 fn load_of(head: &Parts) -> Load {
     let report = head.headers.get(LOAD_HEADER).and_then(|v| v.to_str().ok());
@@ -684,8 +757,11 @@
         _ => Outcome::Error,
     };
     let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let response = (outcome == Outcome::Done)
-        .then_some(BackendResponse { body: BackendBody::Complete(body), content_type });
+    let response = (outcome == Outcome::Done).then_some(BackendResponse {
+        body: BackendBody::Complete(body),
+        content_type,
+        memory: None,
+    });
     let rejected = (outcome == Outcome::Rejected).then_some(head.status);
     AttemptResult { outcome, response, load, rejected, took: None }
 }
