Never withdraw an attempt whose answer is being passed on

Cause: on new zone weights, attempts in an excluded zone were cancelled where the class may be repeated, whether or not the answer had begun, which no repeat can replace. Change: OpenRequest::cancel_attempts, the only way in which the decisions withdraw attempts, leaves out those with a begun answer. The harness of the decisions' tests checks it at every action.

--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -362,10 +362,12 @@
                     }
                 }
                 () = client.socket.out_of_memory() => {
-                    client.socket.memory().count_refusal();
-                    if client.socket.is_flush_due() {
-                        return;
+                    if client.is_responding() {
+                        // The response before this head is still being written.
+                        tokio::time::sleep(CLOSE_IDLE_INTERVAL).await;
+                        continue;
                     }
+                    client.socket.memory().count_refusal();
                     client.socket.write_now(REFUSED_HEAD);
                     break;
                 }
--- a/src/request_table.rs
+++ b/src/request_table.rs
@@ -79,13 +79,15 @@
         self.attempts.iter().any(|a| a.in_flight)
     }
 
-    /// Returns the actions that cancel the attempts in flight for which `condition` is true.
+    /// Returns the actions that cancel the attempts in flight for which `condition` is true. An attempt whose
+    /// answer is being passed on is never cancelled: no other attempt can replace it.
     pub(crate) fn cancel_attempts(
         &self,
         condition: impl Fn(&Attempt) -> bool,
     ) -> impl Iterator<Item = Action> {
         let id = self.request.id;
-        let attempts = self.attempts.iter().enumerate().filter(move |(_, a)| a.in_flight && condition(a));
+        let is_waiting = |a: &Attempt| a.in_flight && !a.response_started;
+        let attempts = self.attempts.iter().enumerate().filter(move |(_, a)| is_waiting(a) && condition(a));
         attempts.map(move |(n, _)| Action::Cancel { id, attempt: n as u32 })
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -127,6 +127,8 @@
     pub times_out_at_ms: f64,
     /// None while the attempt is in flight.
     pub outcome: Option<Outcome>,
+    /// True once the balancer was told that the response has started.
+    pub response_started: bool,
 }
 
 /// A request with its attempts and its result.
@@ -233,6 +235,7 @@
                     sent_at_ms: self.now_ms,
                     times_out_at_ms,
                     outcome: None,
+                    response_started: false,
                 });
             }
             Action::Refuse { id, retry_after_ms } => {
@@ -261,10 +264,9 @@
             }
             Action::Cancel { id, attempt } => {
                 assert!(self.settings.may_cancel, "cancelling is not allowed");
-                assert!(
-                    self.requests[id].attempts.len() > *attempt as usize,
-                    "cancelled an attempt that was never sent"
-                );
+                let attempts = &self.requests[id].attempts;
+                let cancelled = attempts.get(*attempt as usize).expect("an attempt that was sent");
+                assert!(!cancelled.response_started, "cancelled an attempt whose response has started");
             }
             Action::Timer { token, at_ms } => self.timers.push((*at_ms, *token)),
             Action::Probe(backend) => {
@@ -402,16 +404,8 @@
     /// Ends the request's attempt in flight with a long response: its first bytes come after `first_ms`, its last ones
     /// `rest_ms` later. The balancer is told of the first bytes if `reports_start`.
     pub fn stream_response(&mut self, id: RequestId, first_ms: f64, rest_ms: f64, reports_start: bool) {
-        self.advance(first_ms);
-        let Some(n) = self.requests[&id].attempts.iter().position(|a| a.outcome.is_none()) else { return };
+        let Some(n) = self.start_response(id, first_ms, reports_start) else { return };
         let backend = self.requests[&id].attempts[n].backend;
-        if let Some(request) = self.requests.get_mut(&id) {
-            // An attempt whose response has started does not time out.
-            request.attempts[n].times_out_at_ms = f64::INFINITY;
-        }
-        if reports_start {
-            self.feed(Event::ResponseStarted { id, attempt: n as u32, backend, elapsed_ms: first_ms });
-        }
         self.advance(rest_ms);
         if let Some(request) = self.requests.get_mut(&id) {
             request.attempts[n].outcome = Some(Outcome::Done);
@@ -429,6 +423,23 @@
         }));
     }
 
+    /// Starts a long response of the request's attempt in flight after `first_ms`. The balancer is told of it if
+    /// `reports_start`. Returns the number of the attempt.
+    pub fn start_response(&mut self, id: RequestId, first_ms: f64, reports_start: bool) -> Option<usize> {
+        self.advance(first_ms);
+        let request = self.requests.get_mut(&id)?;
+        let n = request.attempts.iter().position(|a| a.outcome.is_none())?;
+        let attempt = &mut request.attempts[n];
+        // An attempt whose response has started does not time out.
+        attempt.times_out_at_ms = f64::INFINITY;
+        attempt.response_started = reports_start;
+        let backend = attempt.backend;
+        if reports_start {
+            self.feed(Event::ResponseStarted { id, attempt: n as u32, backend, elapsed_ms: first_ms });
+        }
+        Some(n)
+    }
+
     /// Disconnects the client of a request.
     pub fn disconnect_client(&mut self, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
