Let no order on a backend be undone by one that is not known to be later

Cause: orders of the fleet were compared only among themselves, by number. A new process knows none, takes the oldest for news and removes whatever cordon there is. Change: src/control/operator_orders.rs decides which of two orders holds, by the version that was known when an order was given and by its age; src/node/order_records.rs keeps both for the node's next process. A node that numbered its order below an older one gives it a new number (gossip.rs). A release undoes nothing that it does not know to be a release's. Wire forms stay.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -975,8 +975,8 @@
                         Event::Shared(SharedUpdate::KeyLocation { key, backend, until_ms }),
                     );
                 }
-                gossip::Action::OperatorOrder { subject, cordoned, .. } => {
-                    self.apply_operator_order(node, &subject, cordoned)
+                gossip::Action::OperatorOrder { subject, order, .. } => {
+                    self.apply_operator_order(node, &subject, order.cordoned)
                 }
             }
         }
--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -9,7 +9,7 @@
 
 use super::datagram::{self, Body, DatagramError, Header, MAX_COMPARED_MEMBERS, MAX_NAME_BYTES, Update};
 use super::membership::{MemberState, Membership, Message, Ms, NodeId, Output, Status};
-use super::shared_state::{SharedState, TenantTotals, Verdict};
+use super::shared_state::{OperatorOrder, SharedState, TenantTotals, Verdict};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time between two waves.
@@ -134,10 +134,8 @@
     OperatorOrder {
         /// A server's uid, or `zone:` and a zone's name.
         subject: String,
-        /// True if the server or zone is out of use.
-        cordoned: bool,
-        /// Duration of the order in seconds; 0 means until it is withdrawn.
-        for_s: u32,
+        /// The order and its version.
+        order: OperatorOrder,
         /// Age of the order in milliseconds.
         age: Ms,
     },
@@ -857,14 +855,13 @@
                 }
             }
             Update::OperatorOrder(subject, order, age) => {
-                if self.shared.merge_order(&subject, order, now.saturating_sub(age)) {
+                let (local_id, created_at) = (self.members.local_id(), now.saturating_sub(age));
+                if self.shared.renew_later_order(local_id, &subject, order, created_at) {
+                    // The sender and whoever has heard it must take this node's order for the later one.
+                    self.disseminate(now, &UpdateKey::OperatorOrder(subject), None);
+                } else if self.shared.merge_order(&subject, order, created_at) {
                     self.disseminate(now, &UpdateKey::OperatorOrder(subject.clone()), Some(from));
-                    out.push(Action::OperatorOrder {
-                        subject,
-                        cordoned: order.cordoned,
-                        for_s: order.for_s,
-                        age,
-                    });
+                    out.push(Action::OperatorOrder { subject, order, age });
                 } else if self.shared.operator_order(&subject).is_some_and(|known| known.value > order) {
                     // The sender's view is outdated.
                     let queue = self.queues.entry(from).or_default();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod gossip;
 pub mod list_sync;
 pub mod membership;
+pub mod operator_orders;
 pub mod shared_state;
 pub mod start_times;
 pub mod subset;
--- a/src/control/shared_state.rs
+++ b/src/control/shared_state.rs
@@ -4,6 +4,7 @@
 //! that each holder measured itself; no other node's clock is trusted.
 
 use super::membership::{Ms, NodeId};
+use super::operator_orders::{AGE_ERROR_MS, OrderVersion};
 use std::collections::BTreeMap;
 
 /// Maximum number of tenants in the totals. Those with the lowest rates are dropped first.
@@ -97,6 +98,14 @@
     pub for_s: u32,
 }
 
+impl OperatorOrder {
+    /// Returns the version of the order.
+    #[must_use]
+    pub fn version(&self) -> OrderVersion {
+        OrderVersion { number: self.number, node: self.node }
+    }
+}
+
 /// A value and the time at which it was created, by this node's clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Aged<T> {
@@ -260,6 +269,27 @@
         order
     }
 
+    /// Gives an order of this node a new number if `received`, created earlier at another node, has the
+    /// greater one: this node had not heard of it when it numbered its own. Returns true if it did.
+    pub fn renew_later_order(
+        &mut self,
+        node: NodeId,
+        subject: &str,
+        received: OperatorOrder,
+        received_at: Ms,
+    ) -> bool {
+        let Some(known) = self.operator_order(subject) else { return false };
+        let is_later = received_at.saturating_add(AGE_ERROR_MS as Ms) < known.created_at;
+        if known.value.node != node || received <= known.value || !is_later {
+            return false;
+        }
+        if !self.accept_number(received.number) {
+            return false;
+        }
+        let renewed = OperatorOrder { number: self.next_number(), ..known.value };
+        self.orders.merge(&subject.to_owned(), renewed, known.created_at)
+    }
+
     /// Merges an operator's order. Returns true if it is new.
     pub fn merge_order(&mut self, subject: &str, order: OperatorOrder, created_at: Ms) -> bool {
         let is_new =
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -5,8 +5,10 @@
 
 use crate::active_settings::ActiveSettings;
 use crate::body::Upload;
+use crate::durable::Cordon;
 use crate::list_parser::ListContent;
 use crate::log::{self, log_event};
+use crate::order_records::OrderRecords;
 use crate::peers::Peers;
 use crate::process_files::ProcessFiles;
 use crate::stats::{RequestResult, Stats};
@@ -14,6 +16,7 @@
     AttemptResult, AttemptSpec, BackendResponse, ForwardedRequest, HttpConnection, Upstream,
 };
 use daleturn::Balancer;
+use daleturn::control::operator_orders::{FleetOrder, KnownOrder, OrderVersion};
 use daleturn::control::start_times::StartTimes;
 use daleturn::control::subset::{Catalog, ListUpdate, Subset, Target};
 use daleturn::control::zones::{ZoneChange, ZoneOrder, Zones};
@@ -312,6 +315,15 @@
     Unstored(#[from] std::io::Error),
 }
 
+/// Who gave an order on a backend, and what this node knew then.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderOrigin {
+    /// True for a release controller, false for an operator.
+    pub is_release: bool,
+    /// Latest order of the fleet on this backend that this node has heard of.
+    pub version: Option<OrderVersion>,
+}
+
 /// Address of a backend that is or was up, with the state for which it was listed.
 struct BackendAddress {
     address: SocketAddr,
@@ -362,6 +374,7 @@
     upstream: Rc<Upstream>,
     peers: Option<Rc<Peers>>,
     process_files: Rc<ProcessFiles>,
+    order_records: OrderRecords,
     watch_requests: mpsc::UnboundedSender<bool>,
     probe_path: Cell<&'static str>,
     may_receive_messages: Cell<bool>,
@@ -406,6 +419,7 @@
             clock: Clock::new(),
             upstream,
             peers,
+            order_records: OrderRecords::open(process_files.clone()),
             process_files,
             watch_requests,
             probe_path: Cell::new(probe_path(&active.settings)),
@@ -638,11 +652,39 @@
         found.map(|(id, _)| *id)
     }
 
-    /// Applies a cordon or uncordon that an operator issued at another node, whether or not the backend is
-    /// listed.
-    pub fn apply_shared_cordon(self: &Rc<Self>, uid: &str, out: bool) {
+    /// Applies an order for the whole fleet that another node received, whether or not the backend is listed,
+    /// unless this node knows a later order.
+    pub fn apply_fleet_order(self: &Rc<Self>, uid: &str, order: FleetOrder) {
+        let (out, is_release) = (order.cordoned, false);
+        if let Some(known) = self.latest_order(uid).filter(|known| !order.supersedes(known)) {
+            log_event!(INFO, "share", backend = uid, out, held = known.cordoned, "share.order_outdated");
+            return;
+        }
+        let FleetOrder { cordoned, given_ms, version } = order;
+        self.order_records
+            .record(uid, KnownOrder { cordoned, given_ms, version: Some(version), is_release });
         let stored = if out { self.process_files.cordon(uid) } else { self.process_files.uncordon(uid) };
         let stored = stored.err().map(|e| e.to_string());
+        log_event!(INFO, "share", backend = uid, out, ?stored, "share.operators_word");
+        self.set_cordoned(uid, out);
+    }
+
+    /// Returns the latest order on a backend that this node has carried out.
+    pub fn latest_order(&self, uid: &str) -> Option<KnownOrder> {
+        let id = BackendId(stable_hash(uid));
+        let cordoned = self.core.borrow().cordoned.contains_key(&id);
+        self.order_records.latest(uid, cordoned)
+    }
+
+    /// Records the version that an order of this node got in the fleet.
+    pub fn record_order_version(&self, uid: &str, version: Option<OrderVersion>) {
+        if let Some(order) = self.latest_order(uid) {
+            self.order_records.record(uid, KnownOrder { version, ..order });
+        }
+    }
+
+    /// Takes a backend out of use or puts it back.
+    fn set_cordoned(self: &Rc<Self>, uid: &str, out: bool) {
         let mut cordoned = self.core.borrow().cordoned.clone();
         let id = BackendId(stable_hash(uid));
         if out {
@@ -650,7 +692,6 @@
         } else {
             cordoned.remove(&id);
         }
-        log_event!(INFO, "share", backend = uid, out, ?stored, "share.operators_word");
         self.handle(Input::Cordons(cordoned));
     }
 
@@ -737,10 +778,18 @@
     }
 
     /// Adds cordons stored before this start.
-    pub fn restore_cordons<'a>(self: &Rc<Self>, uids: impl Iterator<Item = &'a String>) {
+    pub fn restore_cordons(self: &Rc<Self>, stored: &BTreeMap<String, Cordon>) {
         let mut cordoned = self.core.borrow().cordoned.clone();
-        cordoned.extend(uids.map(|uid| (BackendId(stable_hash(uid)), uid.clone())));
+        cordoned.extend(stored.keys().map(|uid| (BackendId(stable_hash(uid)), uid.clone())));
         self.handle(Input::Cordons(cordoned));
+        for (uid, cordon) in stored {
+            let is_recorded = self.latest_order(uid).is_some_and(|order| order.version.is_some());
+            if !is_recorded {
+                let (given_ms, is_release) = (cordon.since_ms as f64, cordon.is_release);
+                let order = KnownOrder { cordoned: true, given_ms, version: None, is_release };
+                self.order_records.record(uid, order);
+            }
+        }
     }
 
     /// Returns the IDs of all cordoned backends.
@@ -778,25 +827,31 @@
     }
 
     /// Cordons a backend: the balancer treats it as draining, whatever its listed state.
-    pub fn cordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
-        let id = self.find_known(uid)?;
+    pub fn cordon(self: &Rc<Self>, uid: &str, origin: OrderOrigin) -> Result<String, CordonError> {
+        self.find_known(uid)?;
+        self.record_order(uid, true, origin);
         self.process_files.cordon(uid)?;
-        let mut cordoned = self.core.borrow().cordoned.clone();
-        cordoned.insert(id, uid.to_owned());
-        self.handle(Input::Cordons(cordoned));
+        self.set_cordoned(uid, true);
         Ok(format!("{uid} is out"))
     }
 
     /// Uncordons a backend: its listed state applies again.
-    pub fn uncordon(self: &Rc<Self>, uid: &str) -> Result<String, CordonError> {
+    pub fn uncordon(self: &Rc<Self>, uid: &str, origin: OrderOrigin) -> Result<String, CordonError> {
         let id = self.find_known(uid)?;
+        self.record_order(uid, false, origin);
         self.process_files.uncordon(uid)?;
-        let mut cordoned = self.core.borrow().cordoned.clone();
-        let was_out = cordoned.remove(&id).is_some();
-        self.handle(Input::Cordons(cordoned));
+        let was_out = self.core.borrow().cordoned.contains_key(&id);
+        self.set_cordoned(uid, false);
         Ok(format!("{uid} {}", if was_out { "is back" } else { "was not out" }))
     }
 
+    /// Records an order that this node receives.
+    fn record_order(&self, uid: &str, cordoned: bool, origin: OrderOrigin) {
+        let OrderOrigin { is_release, version } = origin;
+        let given_ms = self.clock.now_ms();
+        self.order_records.record(uid, KnownOrder { cordoned, given_ms, version, is_release });
+    }
+
     /// Returns the ID of a backend that is listed or cordoned.
     fn find_known(&self, uid: &str) -> Result<BackendId, CordonError> {
         let id = BackendId(stable_hash(uid));
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -15,6 +15,7 @@
 mod log;
 mod memory_budget;
 mod operator;
+mod order_records;
 mod peers;
 mod process_files;
 mod request_reader;
@@ -224,7 +225,7 @@
         watch_sender,
         &options,
     );
-    driver.restore_cordons(restored.cordons.keys());
+    driver.restore_cordons(&restored.cordons);
     driver.handle(Input::Start);
     let names = &current_settings.get().names;
     let known = list_parser::parse_list(&config.known, names);
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -1,7 +1,7 @@
 //! Operator interface: one call per connection, answered with one line.
 
 use crate::active_settings::CurrentSettings;
-use crate::driver::Driver;
+use crate::driver::{Driver, OrderOrigin};
 use crate::durable::{Cordon, Durable};
 use crate::log::{Log, log_event};
 use crate::memory_budget::MemoryBudget;
@@ -223,7 +223,10 @@
             OperatorCall::FleetCordon(_) => Some(Cordon::now(false, "said for the whole fleet")),
             OperatorCall::Leased { cordon: true, id, .. } => {
                 let out = self.driver.cordoned_backends().contains(id);
-                Some(Cordon::for_release(self.cordons.borrow().get(id).filter(|_| out)))
+                let by_operator = out && self.is_operators_cordon(id);
+                let cordons = self.cordons.borrow();
+                let unknown = by_operator.then(|| Cordon::now(false, ""));
+                Some(Cordon::for_release(cordons.get(id).filter(|_| out).or(unknown.as_ref())))
             }
             _ => None,
         }
@@ -241,7 +244,9 @@
     /// True if an operator has cordoned the backend, at this node or fleet-wide; controllers must not
     /// revoke that.
     fn is_operators_cordon(&self, id: &str) -> bool {
-        self.cordons.borrow().get(id).is_some_and(|c| !c.is_release)
+        let order = self.driver.latest_order(id).filter(|order| order.cordoned);
+        order.is_some_and(|order| !order.is_release)
+            || self.cordons.borrow().get(id).is_some_and(|c| !c.is_release)
             || self.sharing.as_ref().is_some_and(|s| s.is_cordoned(id))
     }
 
@@ -250,12 +255,22 @@
         self.zoning.as_deref().ok_or_else(zoning::disabled_error)
     }
 
+    /// Returns the origin of an order that is given now.
+    fn origin(&self, id: &str, is_release: bool) -> OrderOrigin {
+        let version = self.sharing.as_ref().and_then(|sharing| sharing.order_version(id));
+        // After a start the records of the process before may know more than the fleet has told yet.
+        let known = self.driver.latest_order(id).and_then(|order| order.version);
+        OrderOrigin { is_release, version: version.max(known) }
+    }
+
     /// Applies an order at this node and shares it with the others.
     fn order_fleet_wide(&self, id: &str, out: bool) -> Result<String, String> {
         let sharing = self.sharing.as_ref().ok_or(NOT_SHARED)?;
-        let reply = if out { self.driver.cordon(id) } else { self.driver.uncordon(id) };
+        let origin = self.origin(id, false);
+        let reply = if out { self.driver.cordon(id, origin) } else { self.driver.uncordon(id, origin) };
         let reply = reply.map_err(|e| e.to_string())?;
         sharing.share_order(id, out, 0)?;
+        self.driver.record_order_version(id, sharing.order_version(id));
         let others = sharing.reachable_members().saturating_sub(1);
         Ok(format!("{reply}, and {others} others hear of it"))
     }
@@ -310,17 +325,21 @@
                 "the lease is taken".to_owned()
             }
             OperatorCall::Leased { cordon: true, id, .. } => {
-                let reply = self.driver.cordon(id).map_err(|e| e.to_string())?;
+                let is_release = cordon.as_ref().is_none_or(|cordon| cordon.is_release);
+                let origin = self.origin(id, is_release);
+                let reply = self.driver.cordon(id, origin).map_err(|e| e.to_string())?;
                 self.record_cordon(id, cordon);
                 reply
             }
             OperatorCall::Leased { id, .. } | OperatorCall::Uncordon(id) => {
-                let reply = self.driver.uncordon(id).map_err(|e| e.to_string())?;
+                let origin = self.origin(id, matches!(call, OperatorCall::Leased { .. }));
+                let reply = self.driver.uncordon(id, origin).map_err(|e| e.to_string())?;
                 self.record_cordon(id, cordon);
                 reply
             }
             OperatorCall::Cordon { id, .. } => {
-                let reply = self.driver.cordon(id).map_err(|e| e.to_string())?;
+                let origin = self.origin(id, false);
+                let reply = self.driver.cordon(id, origin).map_err(|e| e.to_string())?;
                 self.record_cordon(id, cordon);
                 let lasts = self.durable.is_some() || self.driver.can_store();
                 reply + if lasts { "" } else { ", until this process ends" }
--- a/src/node/process_files.rs
+++ b/src/node/process_files.rs
@@ -188,6 +188,44 @@
             .collect()
     }
 
+    /// Returns when the cordon file of a backend was written, in milliseconds since 1970.
+    pub fn cordoned_at_ms(&self, uid: &str) -> Option<f64> {
+        let written = fs::metadata(self.dir.as_ref()?.join(cordon_file(uid))).and_then(|m| m.modified());
+        let since_epoch = written.ok()?.duration_since(UNIX_EPOCH).ok()?;
+        Some(since_epoch.as_secs_f64() * 1000.0)
+    }
+
+    /// Reads a small file of the directory.
+    pub fn read(&self, name: &str) -> Option<String> {
+        let path = self.dir.as_ref()?.join(name);
+        let is_small = fs::metadata(&path).is_ok_and(|m| m.is_file() && m.len() <= MAX_CORDON_BYTES);
+        is_small.then(|| fs::read_to_string(&path).ok()).flatten()
+    }
+
+    /// Reads all small files whose names have this prefix.
+    pub fn read_all(&self, prefix: &str) -> Vec<String> {
+        let Some(Ok(entries)) = self.dir.as_ref().map(fs::read_dir) else { return Vec::new() };
+        let names = entries.flatten().filter_map(|entry| entry.file_name().into_string().ok());
+        names.filter(|name| name.starts_with(prefix)).filter_map(|name| self.read(&name)).collect()
+    }
+
+    /// Writes a small file of the directory as a whole.
+    ///
+    /// # Errors
+    /// Returns an error if it cannot be written.
+    pub fn write(&self, name: &str, content: &[u8]) -> io::Result<()> {
+        let Some(dir) = &self.dir else { return Ok(()) };
+        write_whole(dir, name, content)
+    }
+
+    /// Removes a file of the directory, if it is there.
+    pub fn remove(&self, name: &str) {
+        if let Some(dir) = &self.dir {
+            // A file that stays is read again by the next process, which does no harm.
+            let _ = fs::remove_file(dir.join(name));
+        }
+    }
+
     /// Stores the cordon of a backend.
     pub fn cordon(&self, uid: &str) -> io::Result<()> {
         let Some(dir) = &self.dir else { return Ok(()) };
--- a/src/node/sharing.rs
+++ b/src/node/sharing.rs
@@ -10,6 +10,8 @@
 use daleturn::control::datagram::MAX_NAME_BYTES;
 use daleturn::control::gossip::{Action, Event, Gossip, MaxAges};
 use daleturn::control::membership::{Ms, NodeId, Status};
+use daleturn::control::operator_orders::{FleetOrder, OrderVersion};
+use daleturn::control::shared_state::OperatorOrder;
 use daleturn::interface::{Observation, SharedUpdate};
 use daleturn::options::Share;
 use daleturn::wire::stable_hash;
@@ -238,17 +240,18 @@
                         }));
                     }
                 }
-                Action::OperatorOrder { subject, cordoned, for_s, age } => {
-                    self.apply_order(&subject, cordoned, for_s, age)
-                }
+                Action::OperatorOrder { subject, order, age } => self.apply_order(&subject, order, age),
             }
         }
     }
 
     /// Applies an order on a zone or a backend that another node has shared.
-    fn apply_order(&self, subject: &str, cordoned: bool, for_s: u32, age: Ms) {
+    fn apply_order(&self, subject: &str, order: OperatorOrder, age: Ms) {
+        let OperatorOrder { cordoned, for_s, .. } = order;
         let Some(zone) = subject.strip_prefix(ZONE_PREFIX) else {
-            return self.driver.apply_shared_cordon(subject, cordoned);
+            let given_ms = self.driver.clock.now_ms() - age as f64;
+            let order = FleetOrder { cordoned, version: order.version(), given_ms };
+            return self.driver.apply_fleet_order(subject, order);
         };
         let all = Duration::from_secs(for_s.into());
         let left = all.saturating_sub(Duration::from_millis(age));
@@ -325,6 +328,11 @@
         Ok(())
     }
 
+    /// Returns the version of the latest fleet-wide order on a backend.
+    pub fn order_version(&self, uid: &str) -> Option<OrderVersion> {
+        self.gossip.borrow().shared().operator_order(uid).map(|order| order.value.version())
+    }
+
     /// True if a fleet-wide order has cordoned the backend.
     pub fn is_cordoned(&self, uid: &str) -> bool {
         self.gossip.borrow().shared().operator_order(uid).is_some_and(|order| order.value.cordoned)
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -106,8 +106,8 @@
                 Action::Verdict { server, node, failing, .. } => {
                     self.verdicts[n].entry((server, node, failing)).or_insert(self.now);
                 }
-                Action::OperatorOrder { subject, cordoned, .. } => {
-                    self.orders[n].insert(subject, cordoned);
+                Action::OperatorOrder { subject, order, .. } => {
+                    self.orders[n].insert(subject, order.cordoned);
                 }
                 Action::KeyLocation { .. } => {}
             }
@@ -357,6 +357,27 @@
     assert!((0..30).filter(|n| *n != 20).all(|n| knows(&world, n) == Some(false)));
 }
 
+/// Guards against an order that is numbered below older ones, since its node had not heard of them yet.
+#[test]
+fn a_later_order_of_a_node_that_has_just_come_back_holds_everywhere() {
+    let mut world = World::new(30, 4, CALM);
+    world.run_for(4000);
+    for cordoned in [true, false, true] {
+        world.handle_event(7, Event::OperatorOrder { subject: "s-1", cordoned, for_s: 0 });
+        world.run_for(3000);
+    }
+    world.nodes[20] = None;
+    world.run_for(3000);
+    world.orders[20].clear();
+    world.start_node(20);
+    world.handle_event(20, Event::OperatorOrder { subject: "s-1", cordoned: false, for_s: 0 });
+    world.run_for(8000);
+    for n in (0..30).filter(|n| *n != 20) {
+        assert_eq!(world.orders[n].get("s-1"), Some(&false), "node {n}");
+    }
+    assert_eq!(world.orders[20].get("s-1"), None, "the older order does not come back to its node");
+}
+
 #[test]
 fn replayed_forged_and_random_datagrams_do_not_change_the_views() {
     let mut world = World::new(20, 8, Network { loss: 0.02, duplication: 0.3, ..CALM });
