--- a/src/node/client_connection.rs
+++ b/src/node/client_connection.rs
@@ -41,6 +41,8 @@
     is_discarding: Cell<bool>,
     /// Notified when the connection should close, unless a request has come meanwhile.
     pub close: Notify,
+    /// Notified when a request begins.
+    pub became_busy: Notify,
 }
 
 impl ClientConnection {
@@ -59,6 +61,7 @@
             response_progress: Cell::new(None),
             is_discarding: Cell::new(false),
             close: Notify::new(),
+            became_busy: Notify::new(),
         }
     }
 
@@ -170,6 +173,7 @@
         client.is_busy.set(true);
         client.stuck_since.set(None);
         client.response_progress.set(None);
+        client.became_busy.notify_one();
         BusyGuard(client)
     }
 }
--- a/src/node/server.rs
+++ b/src/node/server.rs
@@ -36,9 +36,11 @@
 const FINAL_MARGIN: Duration = Duration::from_millis(1);
 /// Time after which a connection is closed if the next request header is not complete, idle or not.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(60);
-/// Interval of the checks for overdue clients, without and with an open request.
+/// Interval of the checks for overdue clients, without an open request.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of the checks with an open request: nothing is sent for a client more than 0.1 s after it left,
+/// and a close behind much unread data is seen by the second check.
+const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 /// Time after a connection's last response for the client to read it and to close its end.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Send buffer of the operating system for a streamed response. With a larger one, a slow client would look
@@ -351,15 +353,20 @@
                 .serve_connection(TokioIo::new(socket), service)
         );
         let mut was_idle = false;
+        let mut check_at = Instant::now() + CHECK_INTERVAL;
         loop {
-            let interval = if client.is_busy() { BUSY_CHECK_INTERVAL } else { CHECK_INTERVAL };
             tokio::select! {
                 // An error means that the client disconnected, or violated the protocol and was told so.
                 _ = connection.as_mut() => break,
-                () = tokio::time::sleep(interval) => {
+                () = tokio::time::sleep_until(check_at.into()) => {
                     if client.is_overdue() || client.has_left() {
                         return;
                     }
+                    let interval = if client.is_busy() { BUSY_CHECK_INTERVAL } else { CHECK_INTERVAL };
+                    check_at = Instant::now() + interval;
+                }
+                () = client.became_busy.notified() => {
+                    check_at = check_at.min(Instant::now() + BUSY_CHECK_INTERVAL);
                 }
                 () = client.socket.out_of_memory() => {
                     if client.is_responding() {
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -297,3 +297,27 @@
         assert!(node.open_descriptors() <= 64, "{} descriptors", node.open_descriptors());
     }
 }
+
+/// Guards against requests that are sent on for a client that has left: the first check came up to 0.25 s later.
+#[test]
+fn nothing_is_sent_for_a_client_that_left_with_requests_unread() {
+    let traffic = Traffic::default();
+    let addresses = start_backends(4, &traffic, |_, _| {
+        std::thread::sleep(Duration::from_millis(150));
+        ok(b"x")
+    });
+    let discovery = Discovery::start(all_up(&addresses));
+    let node = Node::start(discovery.address, |_| {});
+    let requests: Vec<u8> = (0..5).flat_map(|_| request("bid", 900)).collect();
+    let mut client = Client::connect(node.address);
+    assert!(client.send(&requests));
+    wait_for("the first request is sent on", || traffic.request_count() == 1);
+    drop(client);
+    let open_clients = || {
+        let answer = node.call("stats");
+        let stats: serde_json::Value = serde_json::from_str(answer.strip_prefix("OK ").unwrap()).unwrap();
+        stats["descriptors"]["clients"].as_u64()
+    };
+    wait_for("the node has closed the connection", || open_clients() == Some(0));
+    assert_eq!(traffic.request_count(), 1);
+}
