Leave a new process of a node the memory that its old one does not hold

And an older process with many connections had half of its budget taken and refused what came on them. Change: the newer process has half, or what the older one's resident memory leaves; the older one keeps twice what it uses and never gains. Connections may use half of the budget in force, not of the first one. The process itself counts 10 MiB.

--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -4,6 +4,7 @@
 use crate::active_settings::CurrentSettings;
 use crate::driver::Driver;
 use crate::log::log_event;
+use crate::memory_budget::{MemoryShare, resident_bytes};
 use crate::process_files::{ProcessFiles, ProcessRecord, Stage};
 use crate::socket::Descriptors;
 use crate::upstream::Upstream;
@@ -175,6 +176,18 @@
         }
     }
 
+    /// Returns the share of the node's memory that a process in this role has.
+    fn memory_share(&self, role: Role) -> MemoryShare {
+        match role {
+            Role::Alone => MemoryShare::All,
+            Role::Older => MemoryShare::Older,
+            Role::Newer(_) => {
+                let others = self.others.borrow();
+                MemoryShare::Newer(others.iter().filter_map(|other| resident_bytes(other.started.1)).sum())
+            }
+        }
+    }
+
     /// Looks for other processes, then updates the limits, the shared files and the published record.
     fn update(&self) {
         let others = self.process_files.other_processes();
@@ -186,7 +199,7 @@
         let limit = self.pool.limit(role, stopping, limit, used);
         self.descriptors.set_limit(limit);
         self.upstream.transfer_slots.set_halved(role != Role::Alone);
-        self.upstream.memory.set_halved(role != Role::Alone);
+        self.upstream.memory.set_share(self.memory_share(role));
         if before != now {
             let role = match role {
                 Role::Alone => "alone",
--- a/src/node/memory_budget.rs
+++ b/src/node/memory_budget.rs
@@ -13,7 +13,7 @@
 use tokio::sync::oneshot;
 
 /// Memory of a process without clients: program, settings, backend list, learned state and log.
-const PROCESS_BYTES: usize = 8 * 1024 * 1024;
+const PROCESS_BYTES: usize = 10 * 1024 * 1024;
 /// Part of the remaining memory that may be charged; the allocator loses the rest to fragmentation.
 const USABLE_EIGHTHS: usize = 7;
 /// Lower limit of the budget, for memory limits that are too small to work within.
@@ -74,18 +74,40 @@
     refused: Cell<u64>,
 }
 
-/// Returns the budget of one of `processes` processes that share a memory limit.
-fn budget_bytes(limit: usize, processes: usize) -> usize {
-    let usable = (limit / processes).saturating_sub(PROCESS_BYTES) / 8 * USABLE_EIGHTHS;
+/// Part of the node's memory that this process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryShare {
+    /// No other process of the node is running.
+    All,
+    /// A newer process is running.
+    Older,
+    /// Older processes are running, which have this many bytes of resident memory.
+    Newer(usize),
+}
+
+/// Returns the budget of a process that may have this much memory.
+fn budget_bytes(memory: usize) -> usize {
+    let usable = memory.saturating_sub(PROCESS_BYTES) / 8 * USABLE_EIGHTHS;
     usable.max(MIN_BUDGET_BYTES)
 }
 
+/// Returns the budget of a process with this share of the memory limit.
+fn shared_budget_bytes(limit: usize, share: MemoryShare, before: usize, used: usize) -> usize {
+    let half = budget_bytes(limit / 2);
+    match share {
+        MemoryShare::All => budget_bytes(limit),
+        // The allocator keeps what the process had, and requests on its connections must be answered.
+        MemoryShare::Older => half.max(2 * used).min(before),
+        MemoryShare::Newer(others) => half.min(budget_bytes(limit.saturating_sub(others))),
+    }
+}
+
 impl MemoryBudget {
     /// Creates the account of a process with this memory limit in bytes.
     pub fn new(limit: usize) -> Rc<MemoryBudget> {
         Rc::new(MemoryBudget {
             limit,
-            total: Cell::new(budget_bytes(limit, 1)),
+            total: Cell::new(budget_bytes(limit)),
             used: Cell::new(0),
             waiters: Default::default(),
             reclaim: RefCell::default(),
@@ -93,9 +115,9 @@
         })
     }
 
-    /// Leaves half of the node's memory to another process of this node, or takes it back.
-    pub fn set_halved(self: &Rc<Self>, is_halved: bool) {
-        self.total.set(budget_bytes(self.limit, if is_halved { 2 } else { 1 }));
+    /// Sets the budget to this share of the node's memory.
+    pub fn set_share(self: &Rc<Self>, share: MemoryShare) {
+        self.total.set(shared_budget_bytes(self.limit, share, self.total.get(), self.used.get()));
         self.grant_waiting();
     }
 
@@ -131,7 +153,7 @@
 
     /// Returns the number of connections for which the budget suffices.
     pub fn max_connections(&self) -> usize {
-        budget_bytes(self.limit, 1) / 8 * CONNECTION_EIGHTHS / CONNECTION_BYTES
+        self.total.get() / 8 * CONNECTION_EIGHTHS / CONNECTION_BYTES
     }
 
     /// True if half of the budget is in use, so that buffers should not grow.
@@ -220,6 +242,14 @@
     }
 }
 
+/// Returns the resident memory of a process in bytes; `None` if the system does not provide it.
+pub fn resident_bytes(pid: u32) -> Option<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kibibytes: usize = line.trim().trim_end_matches("kB").trim().parse().ok()?;
+    Some(kibibytes * 1024)
+}
+
 /// Bytes on the account, returned when dropped.
 pub struct MemoryCharge {
     budget: Rc<MemoryBudget>,
@@ -264,12 +294,28 @@
     #[test]
     fn two_processes_stay_within_the_memory_limit_together() {
         for limit in [32 * MB, 48 * MB, 192 * MB, 2048 * MB] {
-            for processes in [1, 2] {
-                let all = processes * (budget_bytes(limit, processes) + PROCESS_BYTES);
-                assert!(all <= limit, "{processes} processes in {limit}");
-            }
+            let all = budget_bytes(limit);
+            assert!(all + PROCESS_BYTES <= limit);
+            let older = shared_budget_bytes(limit, MemoryShare::Older, all, 0) + PROCESS_BYTES;
+            let newer = shared_budget_bytes(limit, MemoryShare::Newer(older), all, 0) + PROCESS_BYTES;
+            assert!(older + newer <= limit, "{older} and {newer} of {limit}");
+            // What the older process had already is not left for the newer one.
+            let others = limit - PROCESS_BYTES;
+            let newer = shared_budget_bytes(limit, MemoryShare::Newer(others), all, 0);
+            assert_eq!(newer, MIN_BUDGET_BYTES);
+        }
+        assert_eq!(budget_bytes(0), MIN_BUDGET_BYTES);
+    }
+
+    #[test]
+    fn the_budget_of_an_older_process_never_rises() {
+        let mut budget = budget_bytes(32 * MB);
+        for used in [9 * MB, 2 * MB, 9 * MB] {
+            let next = shared_budget_bytes(32 * MB, MemoryShare::Older, budget, used);
+            assert!(next <= budget);
+            budget = next;
         }
-        assert_eq!(budget_bytes(0, 2), MIN_BUDGET_BYTES);
+        assert_eq!(budget, budget_bytes(16 * MB));
     }
 
     #[tokio::test]
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -4,7 +4,7 @@
 use crate::driver::{Driver, OrderOrigin};
 use crate::durable::{Cordon, Durable};
 use crate::log::{Log, log_event};
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MemoryBudget, resident_bytes};
 use crate::peers::Peers;
 use crate::server::Server;
 use crate::sharing::Sharing;
@@ -386,7 +386,7 @@
         json["settings"] = json!({"taken": active.generation, "digest": format!("{:016x}", active.digest)});
         json["descriptors"] = json!({"used": self.descriptors.used(), "limit": self.descriptors.limit(),
             "clients": self.server.client_count(), "idle_upstream": self.upstream.idle_count()});
-        json["memory"] = json!({"used_kb": resident_kb(), "limit_kb": self.memory.limit() / 1024,
+        json["memory"] = json!({"used_kb": resident_bytes(std::process::id()).map(|bytes| bytes / 1024), "limit_kb": self.memory.limit() / 1024,
             "charged_kb": self.memory.used() / 1024, "budget_kb": self.memory.total() / 1024, "refused": self.memory.refused()});
         let state = self.durable.as_ref().map(|d| d.status());
         json["state"] = json!({"kept": state.is_some(), "incarnation": state.and_then(|s| s.incarnation),
@@ -419,14 +419,6 @@
     }
 }
 
-/// Returns the resident memory of this process in units of 1024 bytes; `None` if the system does not
-/// provide it.
-fn resident_kb() -> Option<u64> {
-    let status = std::fs::read_to_string("/proc/self/status").ok()?;
-    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
-    line.trim().trim_end_matches("kB").trim().parse().ok()
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/node/socket.rs
+++ b/src/node/socket.rs
@@ -19,6 +19,8 @@
 /// UDP, and a connection just accepted.
 pub const UNCOUNTED_DESCRIPTORS: usize = 24;
 
+/// Minimum number of counted descriptors, however small the limits are.
+const MIN_DESCRIPTORS: usize = 8;
 /// Limits for a client that keeps sending behind an open request or after its last response: the bytes read
 /// at once or discarded, and the size of one read.
 const MAX_DISCARDED_BYTES: usize = 4 * 1024 * 1024;
@@ -47,10 +49,10 @@
     /// Creates the counter of a process that may hold `sockets` descriptors in total. The limit is lower if
     /// the memory does not suffice for as many connections.
     pub fn new(sockets: usize, memory: Rc<MemoryBudget>) -> Rc<Descriptors> {
-        let limit = sockets.saturating_sub(UNCOUNTED_DESCRIPTORS).min(memory.max_connections()).max(8);
+        let limit = sockets.saturating_sub(UNCOUNTED_DESCRIPTORS).min(memory.max_connections());
         Rc::new(Descriptors {
             used: Cell::new(0),
-            limit: Cell::new(limit),
+            limit: Cell::new(limit.max(MIN_DESCRIPTORS)),
             freed: Notify::new(),
             reclaim: RefCell::new(Vec::new()),
             memory,
@@ -102,7 +104,8 @@
     /// Waits until fewer descriptors are in use than `part` of the limit.
     async fn take_below(self: &Rc<Self>, part: impl Fn(usize) -> usize) -> DescriptorSlot {
         loop {
-            if self.used.get() < part(self.limit.get()) {
+            let limit = self.limit.get().min(self.memory.max_connections()).max(MIN_DESCRIPTORS);
+            if self.used.get() < part(limit) {
                 self.used.set(self.used.get() + 1);
                 return DescriptorSlot {
                     descriptors: self.clone(),
