--- a/src/policy/locality.rs
+++ b/src/policy/locality.rs
@@ -58,8 +58,8 @@
 const EXCLUDED_ZONE_WEIGHT: f64 = 0.02;
 
 impl Balancer {
-    /// Applies new weights of zones. Attempts in an excluded zone that have no answer yet are cancelled where a
-    /// repeat is safe, so that the requests go elsewhere.
+    /// Applies new weights of zones. Attempts in an excluded zone that have no answer yet are cancelled where
+    /// a repeat is safe, so that the requests go elsewhere.
     pub(super) fn on_zone_weights(&mut self, now: f64, weights: Vec<f64>, actions: &mut Vec<Action>) {
         self.zone_weights = weights;
         self.rebuild_rendezvous_table(now);
