--- a/src/control/list_sync.rs
+++ b/src/control/list_sync.rs
@@ -116,6 +116,11 @@
         self.number
     }
 
+    /// Returns the time at which the call was made.
+    pub fn started_at_ms(&self) -> f64 {
+        self.started_at
+    }
+
     /// Returns the whole milliseconds since the call was made.
     pub fn elapsed_ms(&self, now: f64) -> u64 {
         (now - self.started_at).max(0.0) as u64
@@ -400,6 +405,18 @@
         LateAnswer::Holds
     }
 
+    /// Handles a list that another process of this node got from discovery, like the response to a call made
+    /// now. `version` is its version if it came from the current address, and `watch_from` the version that a
+    /// watch may continue from.
+    pub fn adopted(&mut self, version: Option<u64>, watch_from: Option<u64>) {
+        self.calls += 1;
+        self.answered_call = Some(self.calls);
+        self.applied_version = version;
+        // After a failure in pushed mode the service that answers next may number its versions differently.
+        let keeps_numbering = self.mode == Discovery::OnRequest || self.version.is_some();
+        self.version = watch_from.filter(|_| keeps_numbering);
+    }
+
     /// Requests the full list. Backends are excluded by a response of which nothing else was applied, and the
     /// full list tells whether they have really departed.
     pub fn request_full_list(&mut self, now: f64) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub mod datagram;
 pub mod departures;
 pub mod gossip;
+pub mod list_origin;
 pub mod list_sync;
 pub mod membership;
 pub mod operator_orders;
--- a/src/control/start_times.rs
+++ b/src/control/start_times.rs
@@ -63,6 +63,17 @@
         }
     }
 
+    /// Restores a start time that another process of this node has recorded.
+    pub fn restore(&mut self, backend: BackendId, reported_ms: f64, local_ms: f64) {
+        self.starts.insert(backend, Start { reported_ms, local_ms });
+    }
+
+    /// Returns the recorded start time of a backend on the node's clock, if it is of this reported start.
+    pub fn recorded_start_ms(&self, backend: BackendId, reported_ms: f64) -> Option<f64> {
+        let start = self.starts.get(&backend).filter(|start| start.reported_ms == reported_ms);
+        start.map(|start| start.local_ms)
+    }
+
     /// Forgets the start times of backends that are not listed if there are too many.
     pub fn trim(&mut self, is_listed: impl Fn(BackendId) -> bool) {
         if self.starts.len() > MAX_STARTS {
--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -13,6 +13,7 @@
 use crate::statistics::mix_bits;
 use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 
 /// Maximum number of lines kept; further lines are left out and counted.
@@ -76,6 +77,13 @@
     }
 }
 
+/// Position of a line in a full list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LinePosition {
+    is_other: bool,
+    on_ring: u64,
+}
+
 /// A full list.
 #[derive(Debug, Default)]
 pub struct Catalog {
@@ -143,6 +151,23 @@
         self.home_ring.lines.values().chain(self.other_ring.lines.values())
     }
 
+    /// Returns up to `count` lines after a position in the order of all lines.
+    fn lines_after(&self, position: Option<LinePosition>, count: usize) -> Vec<(LinePosition, &Target)> {
+        let after = |is_other: bool| match position {
+            Some(position) if position.is_other == is_other => Bound::Excluded(position.on_ring),
+            Some(position) if position.is_other => Bound::Excluded(u64::MAX),
+            _ => Bound::Unbounded,
+        };
+        let rings = [(false, &self.home_ring), (true, &self.other_ring)].into_iter();
+        rings
+            .flat_map(|(is_other, ring)| {
+                let lines = ring.lines.range((after(is_other), Bound::Unbounded));
+                lines.map(move |(on_ring, line)| (LinePosition { is_other, on_ring: *on_ring }, line))
+            })
+            .take(count)
+            .collect()
+    }
+
     /// Selects the backends that a node works with: all of them, or the next ones on the rings.
     fn select(&self, size: usize, slot: u32) -> BTreeMap<BackendId, &Target> {
         fn with_id(line: &Target) -> (BackendId, &Target) {
@@ -333,6 +358,21 @@
         self.is_truncated
     }
 
+    /// Returns up to `count` lines of the full list after a position, to read a long list in slices. A line
+    /// that changes meanwhile may be missed.
+    pub fn lines_after(
+        &self,
+        position: Option<LinePosition>,
+        count: usize,
+    ) -> Vec<(LinePosition, &Target)> {
+        self.catalog.lines_after(position, count)
+    }
+
+    /// Returns a backend's line.
+    pub fn line(&self, id: BackendId) -> Option<&Target> {
+        self.catalog.get(id)
+    }
+
     /// Returns the statistics of the list and the subset.
     pub fn stats(&self) -> SubsetStats {
         let (listed, up) = (self.catalog.len(), self.catalog.up());
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -5,11 +5,16 @@
     CallContext, CallEnded, Calls, ListTooLong, MAX_LIST_BYTES, Progress, duration_from_ms,
 };
 use crate::driver::{Driver, Input};
+use crate::handover_log::Update;
 use crate::list_parser::{KnownList, ListContent, ParsedList};
+use crate::list_publisher::ListPublisher;
+use crate::list_receiver::{Delivery, HandedUpdate};
 use crate::log::log_event;
 use crate::socket::Descriptors;
 use daleturn::control::departures::Departures;
+use daleturn::control::list_origin::{Adoption, ListOrigin, ListSource, UpdateKind};
 use daleturn::control::list_sync::{LateAnswer, ListCall, ListResponse, ListSync, NextStep};
+use daleturn::control::subset::Target;
 use daleturn::interface::{Discovery, ListKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,6 +48,10 @@
     pub descriptors: Rc<Descriptors>,
     /// Requests of the balancer to start or stop watching, in on-request mode.
     pub watch_requests: mpsc::UnboundedReceiver<bool>,
+    /// Tells the node's other processes of the list.
+    pub publisher: Rc<ListPublisher>,
+    /// Lists of the node's other processes.
+    pub deliveries: mpsc::UnboundedReceiver<Delivery>,
 }
 
 impl DiscoveryWatch {
@@ -64,6 +73,7 @@
             departures: Departures::default(),
             next_parallel: None,
             driver,
+            publisher: self.publisher,
         };
         loop {
             if list.calls.current().is_none() {
@@ -77,6 +87,11 @@
                 // is handled first.
                 biased;
                 Some(event) = progress.recv() => list.handle(event).await,
+                Some(delivery) = self.deliveries.recv() => {
+                    list.adopt(delivery.update).await;
+                    // The receiver is gone while the node is stopping.
+                    let _ = delivery.handled.send(());
+                }
                 (new, how) = address_changed(&mut address) => list.change_address(new, how),
                 // The balancer may ask for the next call earlier.
                 wanted = self.watch_requests.recv(), if list.calls.current().is_none() => match wanted {
@@ -100,6 +115,7 @@
     /// milliseconds.
     next_parallel: Option<(f64, f64)>,
     driver: Rc<Driver>,
+    publisher: Rc<ListPublisher>,
 }
 
 impl DiscoveryList {
@@ -141,6 +157,7 @@
     fn change_address(&mut self, at: SocketAddr, how: Discovery) {
         self.calls.change_address(at);
         self.list_sync.discovery_changed(self.driver.clock.now_ms(), how);
+        self.publisher.set_watch_from(self.list_sync.version());
         log_event!(INFO, "discovery", %at, ?how, replaced_calls = self.calls.count(), "discovery.moved");
     }
 
@@ -155,11 +172,11 @@
             Progress::Ended(mut ended) => {
                 let is_parallel = self.calls.is_parallel_call(&ended.call);
                 let is_current = self.calls.ended(&mut ended);
-                let CallEnded { call, compared, result, .. } = *ended;
+                let CallEnded { call, compared, result, at, .. } = *ended;
                 let result = result.and_then(|parsed| self.check_unchanged(parsed, compared));
                 match result {
-                    Ok(parsed) if is_current => self.handle_response(&call, parsed).await,
-                    Ok(parsed) => self.handle_late_response(&call, is_parallel, parsed).await,
+                    Ok(parsed) if is_current => self.handle_response(&call, at, parsed).await,
+                    Ok(parsed) => self.handle_late_response(&call, at, is_parallel, parsed).await,
                     Err(e) if is_current && e.is::<ListTooLong>() => self.record_too_long(),
                     Err(e) if is_current => self.record_failure(&call, &e.to_string()),
                     // This call is already counted as failed, or another call will be.
@@ -184,22 +201,41 @@
     }
 
     /// Handles the response to the current call.
-    async fn handle_response(&mut self, call: &ListCall, parsed: ParsedList) {
+    async fn handle_response(&mut self, call: &ListCall, at: SocketAddr, parsed: ParsedList) {
         let now = self.driver.clock.now_ms();
+        let origin = self.origin(call, at, &parsed);
         self.record_response(now, call, &parsed);
         // In on-request mode a response without changes is applied too, which tells the balancer that the
         // call did not fail.
         if self.list_sync.answered(now, call, list_response(&parsed)) {
-            self.apply(call, parsed).await;
+            self.apply(call, origin, parsed).await;
         } else {
-            self.apply_departures(parsed, false).await;
+            self.apply_departures(origin, parsed, false).await;
+        }
+    }
+
+    /// Returns the origin of a response that has just been read.
+    fn origin(&self, call: &ListCall, at: SocketAddr, parsed: &ParsedList) -> ListOrigin {
+        let clock = self.driver.clock;
+        ListOrigin {
+            discovery: at,
+            version: parsed.rev,
+            asked_ms: clock.to_machine_ms(call.started_at_ms()),
+            received_ms: clock.to_machine_ms(clock.now_ms()),
         }
     }
 
     /// Handles a late response. `is_parallel`: the call was made in parallel to another one, so being
     /// replaced does not make it late.
-    async fn handle_late_response(&mut self, call: &ListCall, is_parallel: bool, parsed: ParsedList) {
+    async fn handle_late_response(
+        &mut self,
+        call: &ListCall,
+        at: SocketAddr,
+        is_parallel: bool,
+        parsed: ParsedList,
+    ) {
         let now = self.driver.clock.now_ms();
+        let origin = self.origin(call, at, &parsed);
         let late = self.list_sync.answered_late(now, call, list_response(&parsed));
         if late == LateAnswer::Outdated {
             return;
@@ -229,9 +265,9 @@
                 }
                 self.calls.replace();
                 self.record_response(now, call, &parsed);
-                self.apply(call, parsed).await;
+                self.apply(call, origin, parsed).await;
             }
-            LateAnswer::Departures { omissions } => self.apply_departures(parsed, omissions).await,
+            LateAnswer::Departures { omissions } => self.apply_departures(origin, parsed, omissions).await,
         }
     }
 
@@ -256,17 +292,10 @@
     }
 
     /// Applies a complete response.
-    async fn apply(&mut self, call: &ListCall, parsed: ParsedList) {
+    async fn apply(&mut self, call: &ListCall, origin: ListOrigin, parsed: ParsedList) {
         self.driver.set_list_version(self.list_sync.version());
         let ParsedList { all, entries, skipped, mut content, .. } = parsed;
-        let has_excluded = match &mut content {
-            ListContent::Entries(content) => self.departures.exclude_departed(call.number(), content),
-            ListContent::Catalog(catalog, _) => {
-                self.departures.exclude_departed_from(call.number(), catalog)
-            }
-            ListContent::Unchanged => false,
-        };
-        if has_excluded {
+        if self.exclude_departed(call.number(), &mut content) {
             self.confirm_departures();
         }
         let generation = self.context.current_settings.get().generation;
@@ -280,23 +309,145 @@
             _ => None,
         };
         self.context.known_list.set(known_list);
-        let kind = if all { ListKind::Full } else { ListKind::Changes };
-        apply_content(&self.driver, kind, content).await;
+        let after = self.publisher.source().version().unwrap_or(0);
+        let (list_kind, kind) = if all {
+            (ListKind::Full, self.publisher.full_kind())
+        } else {
+            (ListKind::Changes, UpdateKind::Changes(after))
+        };
+        let publication = self.publication(kind, &content);
+        apply_content(&self.driver, list_kind, content).await;
         self.driver.list_received();
+        let source = ListSource::Discovery { origin, handed_over: false };
+        self.publish(publication, kind, source);
+    }
+
+    /// Excludes departed backends from a response. Returns true if it listed such a backend as up.
+    fn exclude_departed(&mut self, call: u64, content: &mut ListContent) -> bool {
+        match content {
+            ListContent::Entries(content) => self.departures.exclude_departed(call, content),
+            ListContent::Catalog(catalog, _) => self.departures.exclude_departed_from(call, catalog),
+            ListContent::Unchanged => false,
+        }
+    }
+
+    /// Returns what the node's other processes must be told of a response, before it is applied.
+    fn publication(&self, kind: UpdateKind, content: &ListContent) -> Publication {
+        let is_full = matches!(kind, UpdateKind::Full(_));
+        match content {
+            ListContent::Unchanged => Publication::Confirmation,
+            ListContent::Entries(lines) if lines.is_empty() && !is_full => Publication::Confirmation,
+            _ if !self.publisher.is_active() => Publication::List,
+            ListContent::Entries(lines) => Publication::Lines(lines.clone()),
+            ListContent::Catalog(..) if self.publisher.needs_departures() => {
+                Publication::Departures(self.driver.departures(content, true))
+            }
+            ListContent::Catalog(..) => Publication::List,
+        }
+    }
+
+    /// Tells the node's other processes of a response that has been applied.
+    fn publish(&self, publication: Publication, kind: UpdateKind, source: ListSource) {
+        let watch_from = self.list_sync.version();
+        let update = |kind, targets: &[Target]| {
+            let origin = *source.origin()?;
+            Some(Update { kind, origin, watch_from, lines: self.publisher.lines(targets) })
+        };
+        let update = match publication {
+            Publication::Confirmation => return self.publisher.list_confirmed(source, watch_from),
+            Publication::List => None,
+            Publication::Lines(lines) => update(kind, &lines),
+            Publication::Departures(lines) => update(UpdateKind::Departures, &lines),
+        };
+        self.publisher.list_changed(source, watch_from, update);
     }
 
     /// Applies only the departures of an outdated response: a backend counts as reported gone from the
     /// moment the response was written, whatever has been asked since. With `omissions`, backends that a
     /// full list omits have left too.
-    async fn apply_departures(&mut self, parsed: ParsedList, omissions: bool) {
+    async fn apply_departures(&mut self, origin: ListOrigin, parsed: ParsedList, omissions: bool) {
         let departures = self.driver.departures(&parsed.content, omissions && parsed.all);
+        self.apply_departed(origin, departures).await;
+    }
+
+    /// Excludes backends that have departed by this response.
+    async fn apply_departed(&mut self, origin: ListOrigin, departures: Vec<Target>) {
         self.departures.record(&departures, self.list_sync.last_call());
         if !self.driver.any_may_be_up(&departures) {
             return;
         }
         self.confirm_departures();
         self.context.known_list.set(None);
+        let lines = self.publisher.lines(&departures);
         apply_content(&self.driver, ListKind::Changes, ListContent::Entries(departures)).await;
+        let kind = UpdateKind::Departures;
+        self.publisher.backends_departed(Update { kind, origin, watch_from: None, lines });
+    }
+
+    /// Takes the list of another process of this node, or a change of it, as far as it is newer than what
+    /// this process knows.
+    async fn adopt(&mut self, update: HandedUpdate) {
+        let HandedUpdate { kind, origin, pid, .. } = update;
+        let adoption = self.publisher.source().adoption(kind, &origin, self.calls.address());
+        let is_known = adoption == Adoption::Nothing
+            || adoption == Adoption::Departures && self.publisher.has_told_departures(&origin);
+        if !is_known || matches!(kind, UpdateKind::Full(_)) {
+            let now = self.driver.clock.to_machine_ms(self.driver.clock.now_ms());
+            let age_ms = (now - origin.received_ms).max(0.0) as u64;
+            let version = origin.version;
+            log_event!(INFO, "upgrade", pid, version, age_ms, ?kind, ?adoption, "upgrade.list");
+        }
+        match adoption {
+            Adoption::Nothing => {}
+            Adoption::Departures if is_known => {}
+            Adoption::Departures => {
+                let departures = self.driver.departures(&update.content, false);
+                self.apply_departed(origin, departures).await;
+            }
+            Adoption::All => self.adopt_all(update).await,
+        }
+    }
+
+    /// Applies the list of another process, or a change of it, as a whole.
+    async fn adopt_all(&mut self, mut update: HandedUpdate) {
+        let HandedUpdate { kind, origin, .. } = update;
+        let is_same_service = origin.discovery == self.calls.address();
+        let are_zones_known = self.complete_zones(&mut update);
+        let watch_from = update.watch_from.filter(|_| is_same_service && are_zones_known);
+        // A response to a call that is under way may be older.
+        self.calls.replace();
+        let call = if self.publisher.is_newer_than_departures(&origin) {
+            self.list_sync.last_call() + 1
+        } else {
+            0
+        };
+        self.list_sync.adopted(is_same_service.then_some(origin.version), watch_from);
+        if self.exclude_departed(call, &mut update.content) || watch_from.is_none() {
+            self.confirm_departures();
+        }
+        self.driver.set_list_version(self.list_sync.version());
+        self.driver.restore_starts(&update.starts, origin.received_ms);
+        self.context.known_list.set(None);
+        let publication = self.publication(kind, &update.content);
+        // This is no answer of discovery to this process, so a whole list is not `Full`.
+        let is_full = matches!(kind, UpdateKind::Full(_));
+        let list_kind = if is_full { ListKind::Saved } else { ListKind::Changes };
+        apply_content(&self.driver, list_kind, update.content).await;
+        self.publish(publication, kind, ListSource::Discovery { origin, handed_over: true });
+    }
+
+    /// Fills in the zones that the other process did not know, from the list of this process. Returns false
+    /// if some remain unknown.
+    fn complete_zones(&self, update: &mut HandedUpdate) -> bool {
+        let mut are_known = true;
+        for id in std::mem::take(&mut update.unknown_zones) {
+            let Some(zone) = self.driver.listed_zone(id) else {
+                are_known = false;
+                continue;
+            };
+            update.content.set_zone(id, zone);
+        }
+        are_known
     }
 
     /// Asks for the full list, because backends were excluded on the basis of a response that is otherwise
@@ -319,6 +470,7 @@
         let tries = self.calls.tries();
         let now = self.driver.clock.now_ms();
         let is_on_request = self.list_sync.failed(now, call);
+        self.publisher.set_watch_from(self.list_sync.version());
         // In on-request mode calls are few, so every failure is logged.
         self.failures.record(now, call, tries, is_on_request, reason);
         if is_on_request {
@@ -327,6 +479,18 @@
     }
 }
 
+/// What the node's other processes are told of a response.
+enum Publication {
+    /// The list stays as it is.
+    Confirmation,
+    /// The list as a whole, as it is after the response.
+    List,
+    /// The lines of the response.
+    Lines(Vec<Target>),
+    /// The departures in the response.
+    Departures(Vec<Target>),
+}
+
 fn list_response(parsed: &ParsedList) -> ListResponse {
     ListResponse { version: parsed.rev, full: parsed.all, skipped: parsed.skipped }
 }
--- a/src/node/discovery_calls.rs
+++ b/src/node/discovery_calls.rs
@@ -60,7 +60,8 @@
     pub compared: Option<KnownList>,
     /// Parsed response, or why there is none.
     pub result: Result<ParsedList, Box<dyn Error>>,
-    at: SocketAddr,
+    /// Address of discovery that was called.
+    pub at: SocketAddr,
     conn: Option<HttpConnection>,
 }
 
@@ -115,6 +116,11 @@
         Calls { at, context, current: None, parallel, replaced, tries: 0, conn: None, progress }
     }
 
+    /// Returns the address that is called.
+    pub fn address(&self) -> SocketAddr {
+        self.at
+    }
+
     /// Sends further calls to another address; the current call is replaced.
     pub fn change_address(&mut self, at: SocketAddr) {
         self.replace();
--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -6,6 +6,8 @@
 use crate::active_settings::ActiveSettings;
 use crate::body::Upload;
 use crate::durable::Cordon;
+use crate::handover_log::{Line, RecordedStart};
+use crate::initial_list::UNCONFIRMED_FIELD;
 use crate::list_parser::ListContent;
 use crate::log::{self, log_event};
 use crate::order_records::OrderRecords;
@@ -18,7 +20,7 @@
 use daleturn::Balancer;
 use daleturn::control::operator_orders::{FleetOrder, KnownOrder, OrderVersion};
 use daleturn::control::start_times::StartTimes;
-use daleturn::control::subset::{Catalog, ListUpdate, Subset, Target};
+use daleturn::control::subset::{Catalog, LinePosition, ListUpdate, Subset, SubsetStats, Target};
 use daleturn::control::zones::{ZoneChange, ZoneOrder, Zones};
 use daleturn::interface::{
     Action, AttemptEnded, BackendId, BackendSnapshot, Event, Health, ListEntry, ListKind, LogNote, Memory,
@@ -27,6 +29,7 @@
 use daleturn::options::Options;
 use daleturn::wire::stable_hash;
 use hyper::StatusCode;
+use rustix::time::{ClockId, clock_gettime};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -45,13 +48,32 @@
 pub struct Clock {
     start: Instant,
     start_ms: f64,
+    /// Start on the machine's monotonic clock, in milliseconds.
+    machine_start_ms: f64,
+}
+
+/// Returns the time on the machine's monotonic clock, which all processes read alike, in milliseconds.
+fn machine_now_ms() -> f64 {
+    let now = clock_gettime(ClockId::Monotonic);
+    now.tv_sec as f64 * 1000.0 + now.tv_nsec as f64 / 1e6
 }
 
 impl Clock {
     /// Starts the clock at the current system time.
     pub fn new() -> Clock {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_ms: wall.as_secs_f64() * 1000.0 }
+        let machine_start_ms = machine_now_ms();
+        Clock { start: Instant::now(), start_ms: wall.as_secs_f64() * 1000.0, machine_start_ms }
+    }
+
+    /// Converts a time of this clock to one on the machine's monotonic clock.
+    pub fn to_machine_ms(self, at_ms: f64) -> f64 {
+        at_ms - self.start_ms + self.machine_start_ms
+    }
+
+    /// Converts a time on the machine's monotonic clock to one of this clock.
+    pub fn at_machine_ms(self, machine_ms: f64) -> f64 {
+        machine_ms - self.machine_start_ms + self.start_ms
     }
 
     /// Returns the current time in milliseconds since 1970.
@@ -476,6 +498,52 @@
         core.start_times.trim(|backend| core.subset.is_listed(backend));
     }
 
+    /// Returns up to `count` lines of the list after a position, for another process of this node that gets
+    /// the names of `zones` zones.
+    pub fn lines_to_hand_over(
+        &self,
+        position: Option<LinePosition>,
+        count: usize,
+        zones: usize,
+    ) -> Vec<(LinePosition, Line)> {
+        let core = self.core.borrow();
+        let lines = core.subset.lines_after(position, count).into_iter();
+        lines.map(|(at, target)| (at, self.line_of(&core, target, zones))).collect()
+    }
+
+    /// Returns the lines of these backends for another process of this node.
+    pub fn lines_of(&self, targets: &[Target], zones: usize) -> Vec<Line> {
+        let core = self.core.borrow();
+        targets.iter().map(|target| self.line_of(&core, target, zones)).collect()
+    }
+
+    fn line_of(&self, core: &Core, target: &Target, zones: usize) -> Line {
+        let ListEntry { backend, ready_at_ms, .. } = target.entry;
+        let local_start_ms = core.start_times.recorded_start_ms(backend, ready_at_ms);
+        Line::new(target, zones, local_start_ms.map(|at_ms| self.clock.to_machine_ms(at_ms)))
+    }
+
+    /// Returns the statistics of the list and of this node's part of it.
+    pub fn subset_stats(&self) -> SubsetStats {
+        self.core.borrow().subset.stats()
+    }
+
+    /// Returns the zone in which a backend is listed.
+    pub fn listed_zone(&self, id: BackendId) -> Option<u16> {
+        self.core.borrow().subset.line(id).map(|line| line.entry.zone)
+    }
+
+    /// Restores start times that another process of this node has recorded. It received its last list at
+    /// `received_ms` on the machine's monotonic clock.
+    pub fn restore_starts(&self, starts: &[RecordedStart], received_ms: f64) {
+        let core = &mut *self.core.borrow_mut();
+        for start in starts {
+            let local_ms = self.clock.at_machine_ms(start.started_ms);
+            core.start_times.restore(start.backend, start.reported_ms, local_ms);
+        }
+        core.start_times.list_received(self.clock.at_machine_ms(received_ms));
+    }
+
     /// Counts a list that exceeded the size limit.
     pub fn count_oversized_list(&self) {
         self.oversized_lists.set(self.oversized_lists.get() + 1);
@@ -805,8 +873,9 @@
         self.find_known(uid).map(drop)
     }
 
-    /// Returns the known list, or this node's part of a long one, as discovery's JSON.
-    pub fn list_json(&self, active: &ActiveSettings) -> String {
+    /// Returns the known list, or this node's part of a long one, as discovery's JSON. `version` is that of
+    /// the last response that it contains as a whole.
+    pub fn list_json(&self, active: &ActiveSettings, version: Option<u64>) -> String {
         let core = self.core.borrow();
         let targets: Vec<Value> = (core.listed.values())
             .map(|t| {
@@ -817,13 +886,10 @@
             })
             .collect();
         // A partial list must not be used as the base of incremental changes.
-        let all = !core.subset.is_truncated();
-        json!({"rev": self.list_version.get().unwrap_or(0), "all": all, "targets": targets}).to_string()
-    }
-
-    /// Returns the version of the known list.
-    pub fn list_version(&self) -> Option<u64> {
-        self.list_version.get()
+        let is_unconfirmed = self.list_version.get().is_none();
+        let all = !core.subset.is_truncated() && !is_unconfirmed;
+        json!({"rev": version.unwrap_or(0), "all": all, UNCONFIRMED_FIELD: is_unconfirmed, "targets": targets})
+            .to_string()
     }
 
     /// Cordons a backend: the balancer treats it as draining, whatever its listed state.
--- a/src/node/durable.rs
+++ b/src/node/durable.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// A backend list that has been stored.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredList {
+    /// The list, as discovery's JSON.
+    pub json: String,
+    /// Time since it was stored.
+    pub age: Duration,
+}
+
 /// State that a start reads and uses.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RestoredState {
@@ -100,8 +109,8 @@
     pub zones: Vec<(String, Option<Duration>)>,
     /// Lease of a release: its holder and number.
     pub lease: Option<String>,
-    /// The last list, as discovery's JSON.
-    pub list: Option<String>,
+    /// The last list.
+    pub list: Option<StoredList>,
     /// The learned state, as the node writes it.
     pub learned: Option<String>,
 }
@@ -139,7 +148,10 @@
                 left.is_none_or(|left| !left.is_zero()).then(|| (zone.clone(), left))
             })
             .collect(),
-        list: text(LIST, MAX_LIST_AGE),
+        list: text(LIST, MAX_LIST_AGE).map(|json| {
+            let written_ms = get(LIST, NODE).map_or(now_ms, |entry| entry.written_ms);
+            StoredList { json, age: Duration::from_millis(now_ms.saturating_sub(written_ms)) }
+        }),
         learned: text(LEARNED, MAX_LEARNED_AGE).filter(|_| !looping),
     }
 }
@@ -340,8 +352,8 @@
 pub struct Durable {
     jobs: RefCell<Option<SyncSender<Job>>>,
     status: std::sync::Arc<std::sync::Mutex<StoreStatus>>,
-    /// Version of the last list passed to the thread, and the iteration in which that was.
-    last_stored: Cell<Option<(Option<u64>, u64)>>,
+    /// Number of changes of the list that was last passed to the thread.
+    last_stored: Cell<Option<u64>>,
     thread: RefCell<Option<std::thread::JoinHandle<()>>>,
 }
 
@@ -450,18 +462,11 @@
         let _ = self.enqueue(Job::Cordons(uids));
     }
 
-    /// Stores the learned state, and the list if its version has changed since the last call. `iteration`
-    /// counts the intervals of the periodic writer. Never waits.
-    pub fn store_learned(
-        &self,
-        version: Option<u64>,
-        iteration: u64,
-        list: impl FnOnce() -> String,
-        learned: String,
-    ) {
+    /// Stores the learned state, and the list if it has changed since the last call. `list_changes` is the
+    /// number of its changes. Never waits.
+    pub fn store_learned(&self, list_changes: u64, list: impl FnOnce() -> String, learned: String) {
         let mut entries = vec![(LEARNED, learned)];
-        if self.last_stored.replace(Some((version, iteration))).is_none_or(|(before, _)| before != version)
-        {
+        if self.last_stored.replace(Some(list_changes)) != Some(list_changes) {
             entries.push((LIST, list()));
         }
         let _ = self.enqueue(Job::Entries(entries));
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -1,8 +1,10 @@
-//! Handover between two processes of one node: detects the other process and divides the node's descriptors
-//! and transfer slots between the two.
+//! Handover between two processes of one node: detects the other process, divides the node's descriptors and
+//! transfer slots between the two, and lets each know what discovery has told the other.
 
 use crate::active_settings::CurrentSettings;
 use crate::driver::Driver;
+use crate::list_publisher::{Audience, ListPublisher};
+use crate::list_receiver::ListReceiver;
 use crate::log::log_event;
 use crate::memory_budget::{MemoryShare, resident_bytes};
 use crate::process_files::{ProcessFiles, ProcessRecord, Stage};
@@ -20,6 +22,8 @@
 /// process serves. The second is used if no list is known at all.
 const DISCOVERY_WAIT: Duration = Duration::from_millis(500);
 const FIRST_LIST_WAIT: Duration = Duration::from_millis(4500);
+/// Time to wait for the list of an old process that writes one.
+const HANDED_LIST_WAIT: Duration = Duration::from_millis(1000);
 
 /// Role of this process among the processes of the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +62,14 @@
     }
 }
 
+/// The two directions in which the processes of a node tell each other of the backend list.
+pub struct ListExchange {
+    /// Writes the list of this process.
+    pub publisher: Rc<ListPublisher>,
+    /// Reads the lists of the other processes.
+    pub receiver: ListReceiver,
+}
+
 /// Handover state of this process.
 pub struct Handover {
     process_files: Rc<ProcessFiles>,
@@ -65,6 +77,7 @@
     descriptors: Rc<Descriptors>,
     upstream: Rc<Upstream>,
     current_settings: Rc<CurrentSettings>,
+    lists: ListExchange,
     pool: DescriptorPool,
     stage: Cell<Stage>,
     published: Cell<Option<ProcessRecord>>,
@@ -80,6 +93,7 @@
         descriptors: Rc<Descriptors>,
         upstream: Rc<Upstream>,
         current_settings: Rc<CurrentSettings>,
+        lists: ListExchange,
         fixed: usize,
     ) -> Rc<Handover> {
         let pool = DescriptorPool { alone: descriptors.limit(), fixed };
@@ -91,6 +105,7 @@
             descriptors,
             upstream,
             current_settings,
+            lists,
             pool,
             stage,
             published: Cell::new(None),
@@ -109,8 +124,22 @@
         }
     }
 
-    /// Waits until this process may accept clients: at once without other processes, otherwise once a list
-    /// is known and enough descriptors are free.
+    /// Reads the lists of the other processes while the node runs.
+    pub async fn receive_lists(self: Rc<Self>) {
+        loop {
+            let others = self.others.borrow().clone();
+            self.lists.receiver.read_all(&others).await;
+            let pause = match self.stage.get() {
+                _ if others.is_empty() => 2 * CHECK_INTERVAL,
+                Stage::Starting => CHECK_INTERVAL / 5,
+                Stage::Serving | Stage::Stopping => CHECK_INTERVAL,
+            };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Waits until this process may accept clients: at once without other processes, otherwise once it has
+    /// the list of the old process, any list is known and enough descriptors are free.
     pub async fn wait_until_ready(&self) {
         if self.others.borrow().is_empty() {
             return;
@@ -122,7 +151,9 @@
                 && (self.driver.has_discovery_responded() || waited > DISCOVERY_WAIT);
             let has_descriptors =
                 self.claimed_descriptors() <= self.pool.shared() * 3 / 4 || waited > DESCRIPTOR_WAIT;
-            if (has_list || waited > FIRST_LIST_WAIT) && has_descriptors {
+            let has_handed_list =
+                self.lists.receiver.has_received(&self.others.borrow()) || waited > HANDED_LIST_WAIT;
+            if (has_list || waited > FIRST_LIST_WAIT) && has_handed_list && has_descriptors {
                 return;
             }
             tokio::time::sleep(CHECK_INTERVAL / 5).await;
@@ -176,6 +207,17 @@
         }
     }
 
+    /// Returns for whom this process writes its list: those that read lists.
+    fn audience(&self) -> Audience {
+        let own = self.process_files.started();
+        let others = self.others.borrow();
+        match others.iter().filter(|o| o.hands_over_list).map(|o| o.started).max() {
+            None => Audience::None,
+            Some(newest) if newest > own => Audience::Newer,
+            Some(_) => Audience::Older,
+        }
+    }
+
     /// Returns the share of the node's memory that a process in this role has.
     fn memory_share(&self, role: Role) -> MemoryShare {
         match role {
@@ -212,6 +254,7 @@
         if role == Role::Older && starting && self.stage.get() == Stage::Serving {
             self.process_files.save_memory(&self.driver.memory(), &self.current_settings.get().names);
         }
+        self.lists.publisher.update(self.audience());
         // An operator may have called the other process.
         if before + now > 0 && self.process_files.can_store() {
             self.driver.set_cordons(self.process_files.cordons());
--- a/src/node/list_parser.rs
+++ b/src/node/list_parser.rs
@@ -13,9 +13,9 @@
 
 /// Maximum size of a response that is parsed on the event loop. A longer one takes longer than a request
 /// may wait, so it is parsed on a blocking thread, entry by entry.
-const MAX_INLINE_BYTES: usize = 64 * 1024;
+pub const MAX_INLINE_BYTES: usize = 64 * 1024;
 /// Maximum number of entries of a full list that is indexed on the event loop.
-const MAX_INLINE_ENTRIES: usize = 1024;
+pub const MAX_INLINE_ENTRIES: usize = 1024;
 /// Maximum number of unreadable entries of one list that are logged.
 const MAX_LOGGED_SKIPPED: usize = 20;
 
@@ -29,6 +29,25 @@
     Unchanged,
 }
 
+impl ListContent {
+    /// Sets the zone of a backend.
+    pub fn set_zone(&mut self, id: BackendId, zone: u16) {
+        match self {
+            ListContent::Entries(lines) => {
+                let lines = lines.iter_mut().filter(|line| line.entry.backend == id);
+                lines.for_each(|line| line.entry.zone = zone);
+            }
+            ListContent::Catalog(catalog, _) => {
+                if let Some(mut line) = catalog.get(id).cloned() {
+                    line.entry.zone = zone;
+                    catalog.insert(line);
+                }
+            }
+            ListContent::Unchanged => {}
+        }
+    }
+}
+
 /// The last long full list that was applied, while nothing has changed since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KnownList {
--- /dev/null
+++ b/src/node/list_receiver.rs
@@ -0,0 +1,365 @@
+//! Reads the backend lists that the node's other processes write, and passes them on to the watch of
+//! discovery. A list is read as long as its process runs, and once more when the process has ended.
+
+use crate::active_settings::CurrentSettings;
+use crate::driver::Clock;
+use crate::handover_log::{
+    Frame, Header, LineReader, LogError, PREAMBLE_BYTES, RecordedStart, Update, Writer, read_frame,
+    read_preamble,
+};
+use crate::list_parser::{ListContent, MAX_INLINE_BYTES, MAX_INLINE_ENTRIES};
+use crate::list_publisher::{list_path, remove_list, writers_in};
+use crate::log::log_event;
+use crate::process_files::{ProcessFiles, ProcessRecord};
+use daleturn::control::list_origin::{ListOrigin, UpdateKind};
+use daleturn::control::subset::{Catalog, Target, home_zone};
+use daleturn::interface::BackendId;
+use daleturn::wire::Names;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Read, Seek, SeekFrom};
+use std::path::Path;
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Maximum size of a file that is read.
+const MAX_FILE_BYTES: u64 = 64 * 1024 * 1024;
+/// Longest time by which a file may seem to be written in the future, in milliseconds.
+const CLOCK_SLACK_MS: f64 = 1000.0;
+
+/// A list, or a change of it, as another process of this node holds it.
+pub struct HandedUpdate {
+    /// What the content is.
+    pub kind: UpdateKind,
+    /// The response of discovery that told of it.
+    pub origin: ListOrigin,
+    /// Version from which a watch may continue.
+    pub watch_from: Option<u64>,
+    /// Process that handed it over.
+    pub pid: u32,
+    /// The lines.
+    pub content: ListContent,
+    /// Recorded starts of the backends.
+    pub starts: Vec<RecordedStart>,
+    /// Backends in zones that the other process did not know and this one may know.
+    pub unknown_zones: Vec<BackendId>,
+}
+
+/// An update, and where to tell that it has been handled.
+pub struct Delivery {
+    /// The update.
+    pub update: HandedUpdate,
+    /// Dropped or sent once the update has been handled.
+    pub handled: oneshot::Sender<()>,
+}
+
+/// What a reader expects next.
+enum Expected {
+    Header,
+    /// Lines of the list, or its end. Holds the header and the list so far.
+    Lines(Box<Header>, LineReader, Vec<Target>),
+    /// Updates, by a writer that knows these zones.
+    Updates(Vec<String>),
+}
+
+/// Position in the file of another process.
+struct FilePosition {
+    generation: u32,
+    offset: usize,
+    expected: Expected,
+}
+
+impl FilePosition {
+    fn start(generation: u32) -> FilePosition {
+        FilePosition { generation, offset: PREAMBLE_BYTES, expected: Expected::Header }
+    }
+}
+
+/// Another process of this node.
+struct Source {
+    started: (u64, u32),
+    /// The place up to which its file has been read; none before the file is there.
+    position: Option<FilePosition>,
+    /// Generation of a file that is not used.
+    ignored: Option<u32>,
+    /// Its list has been handled, or is not used.
+    is_received: bool,
+}
+
+/// What the frames of a file are converted with.
+struct Conversion {
+    writer: Writer,
+    now_ms: f64,
+    names: Names,
+    home_zone: Option<u16>,
+}
+
+impl Conversion {
+    /// Checks that a file is written by the process that it is named after.
+    fn check(&self, header: &Header) -> Result<(), LogError> {
+        let (expected, found) = (&self.writer, &header.writer);
+        if (&found.node, found.listen) != (&expected.node, expected.listen) {
+            return Err(LogError::Foreign);
+        }
+        if found.started != expected.started || header.written_ms > self.now_ms + CLOCK_SLACK_MS {
+            return Err(LogError::Stale);
+        }
+        Ok(())
+    }
+
+    /// Converts an update.
+    fn convert(&self, update: Update, zones: &[String]) -> HandedUpdate {
+        let Update { kind, origin, watch_from, lines } = update;
+        let mut reader = LineReader::new(zones, &self.names);
+        let targets = lines.into_iter().map(|line| reader.read(line)).collect();
+        self.update(kind, origin, watch_from, reader, targets)
+    }
+
+    /// Creates an update. A long list is indexed.
+    fn update(
+        &self,
+        kind: UpdateKind,
+        origin: ListOrigin,
+        watch_from: Option<u64>,
+        reader: LineReader,
+        targets: Vec<Target>,
+    ) -> HandedUpdate {
+        let is_long = matches!(kind, UpdateKind::Full(_)) && targets.len() > MAX_INLINE_ENTRIES;
+        let content = if is_long {
+            ListContent::Catalog(Box::new(Catalog::from_lines(targets, self.home_zone)), 0)
+        } else {
+            ListContent::Entries(targets)
+        };
+        let LineReader { starts, unknown_zones, .. } = reader;
+        let pid = self.writer.started.1;
+        HandedUpdate { kind, origin, watch_from, pid, content, starts, unknown_zones }
+    }
+
+    /// Reads the frames in `bytes`, which follow the position, and advances the position past them. Returns
+    /// the updates up to the first error.
+    fn read_frames(
+        &self,
+        position: &mut FilePosition,
+        bytes: &[u8],
+    ) -> (Vec<HandedUpdate>, Result<(), LogError>) {
+        let mut updates = Vec::new();
+        let mut rest = bytes;
+        let result = loop {
+            let (frame, length) = match read_frame(rest, position.offset) {
+                Ok(Some(read)) => read,
+                Ok(None) => break Ok(()),
+                Err(e) => break Err(e),
+            };
+            match self.read_one(position, frame) {
+                Ok(update) => updates.extend(update),
+                Err(e) => break Err(e),
+            }
+            rest = &rest[length..];
+            position.offset += length;
+        };
+        // The file gets its name once the list is complete.
+        let is_complete = matches!(position.expected, Expected::Updates(_));
+        (updates, result.and(if is_complete { Ok(()) } else { Err(LogError::Truncated) }))
+    }
+
+    /// Handles one frame. Returns the update that is complete with it.
+    fn read_one(
+        &self,
+        position: &mut FilePosition,
+        frame: Frame,
+    ) -> Result<Option<HandedUpdate>, LogError> {
+        let expected = std::mem::replace(&mut position.expected, Expected::Header);
+        let (next, update) = match (expected, frame) {
+            (Expected::Header, Frame::Header(header)) => {
+                self.check(&header)?;
+                let reader = LineReader::new(&header.zones, &self.names);
+                (Expected::Lines(Box::new(header), reader, Vec::new()), None)
+            }
+            (Expected::Lines(header, mut reader, mut targets), Frame::Lines(lines)) => {
+                targets.extend(lines.into_iter().map(|line| reader.read(line)));
+                (Expected::Lines(header, reader, targets), None)
+            }
+            (Expected::Lines(header, reader, targets), Frame::ListEnd) => {
+                let Header { zones, list, .. } = *header;
+                let update = list.map(|list| {
+                    let kind = UpdateKind::Full(list.configured_version);
+                    self.update(kind, list.origin, list.watch_from, reader, targets)
+                });
+                (Expected::Updates(zones), update)
+            }
+            (Expected::Updates(zones), Frame::Update(update)) => {
+                let update = self.convert(update, &zones);
+                (Expected::Updates(zones), Some(update))
+            }
+            _ => return Err(LogError::Order(position.offset)),
+        };
+        position.expected = next;
+        Ok(update)
+    }
+}
+
+/// Part of a file that has not been read before.
+struct NewBytes {
+    generation: u32,
+    bytes: Vec<u8>,
+}
+
+/// Reads what has been added to a file since the position. Returns `None` if nothing has.
+fn read_new_bytes(path: &Path, read_up_to: Option<(u32, usize)>) -> io::Result<Option<NewBytes>> {
+    let mut file = File::open(path)?;
+    let mut preamble = [0; PREAMBLE_BYTES];
+    file.read_exact(&mut preamble)?;
+    let generation = read_preamble(&preamble).map_err(io::Error::other)?;
+    let read_up_to = read_up_to.filter(|(known, _)| *known == generation).map(|(_, offset)| offset);
+    let offset = read_up_to.unwrap_or(PREAMBLE_BYTES);
+    let length = file.metadata()?.len();
+    if length > MAX_FILE_BYTES {
+        return Err(io::Error::other(format!("longer than {MAX_FILE_BYTES} bytes")));
+    }
+    if read_up_to.is_some() && length <= offset as u64 {
+        return Ok(None);
+    }
+    file.seek(SeekFrom::Start(offset as u64))?;
+    let mut bytes = Vec::with_capacity(usize::try_from(length).unwrap_or(0).saturating_sub(offset));
+    file.take(MAX_FILE_BYTES).read_to_end(&mut bytes)?;
+    Ok(Some(NewBytes { generation, bytes }))
+}
+
+/// Reads the lists of the node's other processes.
+pub struct ListReceiver {
+    process_files: Rc<ProcessFiles>,
+    current_settings: Rc<CurrentSettings>,
+    clock: Clock,
+    /// This process, as it describes itself in its own file.
+    writer: Writer,
+    sources: RefCell<BTreeMap<u32, Source>>,
+    deliveries: mpsc::UnboundedSender<Delivery>,
+}
+
+impl ListReceiver {
+    /// Creates a receiver. Lists that processes have left which do not run any more are removed.
+    pub fn new(
+        process_files: Rc<ProcessFiles>,
+        current_settings: Rc<CurrentSettings>,
+        clock: Clock,
+        writer: Writer,
+        deliveries: mpsc::UnboundedSender<Delivery>,
+    ) -> ListReceiver {
+        if let Some(dir) = process_files.directory() {
+            let writers = writers_in(dir);
+            let running: Vec<u32> = process_files.other_processes().iter().map(|p| p.started.1).collect();
+            for pid in writers.into_iter().filter(|pid| !running.contains(pid)) {
+                let reason = LogError::Stale.to_string();
+                log_event!(INFO, "upgrade", pid, reason = reason.as_str(), "upgrade.list_ignored");
+                remove_list(dir, pid);
+            }
+        }
+        let sources = RefCell::default();
+        ListReceiver { process_files, current_settings, clock, writer, sources, deliveries }
+    }
+
+    /// True if the lists of these processes have been handled, as far as they write any.
+    pub fn has_received(&self, others: &[ProcessRecord]) -> bool {
+        let sources = self.sources.borrow();
+        let own = self.process_files.started();
+        let mut older = others.iter().filter(|other| other.hands_over_list && other.started < own);
+        older.all(|other| sources.get(&other.started.1).is_some_and(|source| source.is_received))
+    }
+
+    /// Reads the files of the other processes that are running, and for a last time those of the ones that
+    /// have ended.
+    pub async fn read_all(&self, others: &[ProcessRecord]) {
+        for other in others {
+            let source =
+                Source { started: other.started, position: None, ignored: None, is_received: false };
+            self.sources.borrow_mut().entry(other.started.1).or_insert(source);
+            self.read(other.started.1, false).await;
+        }
+        let is_running = |pid: &u32| others.iter().any(|other| other.started.1 == *pid);
+        let ended: Vec<u32> =
+            self.sources.borrow().keys().copied().filter(|pid| !is_running(pid)).collect();
+        for pid in ended {
+            self.read(pid, true).await;
+            self.sources.borrow_mut().remove(&pid);
+            if let Some(dir) = self.process_files.directory() {
+                remove_list(dir, pid);
+            }
+        }
+    }
+
+    /// Reads what is new in the file of a process and delivers it. `has_ended`: the process has ended.
+    async fn read(&self, pid: u32, has_ended: bool) {
+        let Some(path) = self.process_files.directory().map(|dir| list_path(dir, pid)) else { return };
+        let Some(mut source) = self.sources.borrow_mut().remove(&pid) else { return };
+        let read_up_to = source.position.as_ref().map(|position| (position.generation, position.offset));
+        match read_new_bytes(&path, read_up_to) {
+            Ok(Some(new)) if source.ignored != Some(new.generation) => {
+                self.handle_bytes(&mut source, new, has_ended).await;
+            }
+            Ok(_) => {}
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            Err(e) if source.ignored.is_none() => {
+                self.ignore(&mut source, 0, &e.to_string());
+            }
+            Err(_) => {}
+        }
+        self.sources.borrow_mut().insert(pid, source);
+    }
+
+    async fn handle_bytes(&self, source: &mut Source, new: NewBytes, has_ended: bool) {
+        let NewBytes { generation, bytes } = new;
+        let position = source.position.take().filter(|position| position.generation == generation);
+        let mut position = position.unwrap_or_else(|| FilePosition::start(generation));
+        let end = position.offset + bytes.len();
+        let conversion = self.conversion(source.started);
+        let read = move || {
+            let (updates, result) = conversion.read_frames(&mut position, &bytes);
+            (position, updates, result)
+        };
+        let read =
+            if end <= MAX_INLINE_BYTES { Ok(read()) } else { tokio::task::spawn_blocking(read).await };
+        let Ok((position, updates, result)) = read else {
+            return self.ignore(source, generation, &LogError::Truncated.to_string());
+        };
+        for update in updates {
+            self.deliver(update).await;
+        }
+        let has_rest = position.offset < end;
+        match result {
+            Err(e) => self.ignore(source, generation, &e.to_string()),
+            Ok(()) if has_ended && has_rest => {
+                self.ignore(source, generation, &LogError::Truncated.to_string());
+            }
+            Ok(()) => {}
+        }
+        source.position = Some(position);
+        source.is_received = true;
+    }
+
+    fn conversion(&self, started: (u64, u32)) -> Conversion {
+        let active = self.current_settings.get();
+        Conversion {
+            writer: Writer { started, ..self.writer.clone() },
+            now_ms: self.clock.to_machine_ms(self.clock.now_ms()),
+            names: active.names.of_zones(),
+            home_zone: home_zone(&active.settings),
+        }
+    }
+
+    /// Passes an update on and waits until it has been handled.
+    async fn deliver(&self, update: HandedUpdate) {
+        let (handled, wait) = oneshot::channel();
+        // The receivers are gone while the node is stopping.
+        let _ = self.deliveries.send(Delivery { update, handled });
+        let _ = wait.await;
+    }
+
+    /// Uses no more of a file.
+    fn ignore(&self, source: &mut Source, generation: u32, reason: &str) {
+        let pid = source.started.1;
+        log_event!(WARN, "upgrade", pid, reason, "upgrade.list_ignored");
+        source.ignored = Some(generation);
+        source.is_received = true;
+    }
+}
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -11,7 +11,11 @@
 mod durable;
 mod framing;
 mod handover;
+mod handover_log;
+mod initial_list;
 mod list_parser;
+mod list_publisher;
+mod list_receiver;
 mod log;
 mod memory_budget;
 mod operator;
@@ -33,12 +37,16 @@
 use crate::discovery::DiscoveryWatch;
 use crate::driver::{Driver, Input, stats_window};
 use crate::durable::{Durable, RestoredState};
-use crate::handover::Handover;
+use crate::handover::{Handover, ListExchange};
+use crate::handover_log::Writer;
+use crate::initial_list::InitialList;
+use crate::list_publisher::ListPublisher;
+use crate::list_receiver::ListReceiver;
 use crate::log::{Log, log_event};
 use crate::memory_budget::MemoryBudget;
 use crate::operator::{Lease, Operator};
 use crate::peers::Peers;
-use crate::process_files::{ProcessFiles, memory_from_json, memory_to_json};
+use crate::process_files::{ProcessFiles, Stage, memory_from_json, memory_to_json};
 use crate::server::Server;
 use crate::sharing::Sharing;
 use crate::socket::{Descriptors, UNCOUNTED_DESCRIPTORS};
@@ -46,7 +54,8 @@
 use crate::zoning::Zoning;
 use daleturn::Balancer;
 use daleturn::control::list_sync::ListSync;
-use daleturn::interface::{Discovery, ListKind};
+use daleturn::control::subset::SubsetStats;
+use daleturn::interface::{Discovery, ListKind, Settings};
 use daleturn::options::Options;
 use daleturn::platform::{Config, Reload};
 use serde_json::Value;
@@ -147,6 +156,7 @@
 async fn store_periodically(
     durable: Rc<Durable>,
     driver: Rc<Driver>,
+    publisher: Rc<ListPublisher>,
     current_settings: Rc<CurrentSettings>,
 ) {
     let mut last_cordoned = driver.cordoned_backends();
@@ -164,11 +174,39 @@
         if iteration % INTERVALS_PER_MEMORY_WRITE == 0 {
             let active = current_settings.get();
             let learned = memory_to_json(&driver.memory(), &active.names);
-            durable.store_learned(driver.list_version(), iteration, || driver.list_json(&active), learned);
+            let version = publisher.source().version();
+            durable.store_learned(publisher.changes(), || driver.list_json(&active, version), learned);
         }
     }
 }
 
+/// Logs that this process serves, and the list that it begins with.
+fn log_serving(
+    name: &str,
+    listen: SocketAddr,
+    settings: &Settings,
+    publisher: &ListPublisher,
+    driver: &Driver,
+) {
+    let source = publisher.source();
+    let list_age_ms = source.age_ms(driver.clock.to_machine_ms(driver.clock.now_ms()));
+    let (list, list_version) = (source.name(), source.version());
+    let SubsetStats { listed, up, .. } = driver.subset_stats();
+    log_event!(
+        INFO,
+        "node",
+        name,
+        %listen,
+        list,
+        ?list_version,
+        ?list_age_ms,
+        listed,
+        up,
+        ?settings,
+        "node.serving"
+    );
+}
+
 /// Runs the node until it has stopped.
 async fn run(config: Config, options: Options, log: Rc<Log>) -> Result<(), Box<dyn Error>> {
     let started = Instant::now();
@@ -183,6 +221,8 @@
         None => None,
     };
     let process_files = Rc::new(ProcessFiles::open(config.listen));
+    // An old process of this node writes its list while this one prepares to serve.
+    process_files.publish(process_files.record(Stage::Starting, 0));
     let (durable, restored) = match options.state.dir.as_str() {
         "" => (None, RestoredState::default()),
         _ => {
@@ -228,21 +268,33 @@
     driver.restore_cordons(&restored.cordons);
     driver.handle(Input::Start);
     let names = &current_settings.get().names;
-    let known = list_parser::parse_list(&config.known, names);
-    let last = restored.list.as_deref().and_then(|text| serde_json::from_str(text).ok());
-    let last = last.and_then(|json| list_parser::parse_list(&json, names));
-    // Use the newer of the two lists, by their versions.
-    let known = match (known, last) {
-        (Some(known), Some(last)) if known.rev >= last.rev => Some(known),
-        (known, None) => known,
-        (_, last) => last,
-    };
-    let version = known.as_ref().and_then(list_parser::ParsedList::complete_version);
+    let machine_now_ms = driver.clock.to_machine_ms(driver.clock.now_ms());
+    let InitialList { list, source, configured_version } =
+        InitialList::select(&config.known, restored.list.as_ref(), names, machine_now_ms);
+    let version = list.as_ref().and_then(list_parser::ParsedList::complete_version);
     driver.set_list_version(version);
-    if let Some(known) = known {
-        known.log_skipped();
-        discovery::apply_content(&driver, ListKind::Saved, known.content).await;
+    if let Some(list) = list {
+        list.log_skipped();
+        discovery::apply_content(&driver, ListKind::Saved, list.content).await;
     }
+    let writer =
+        Writer { node: config.name.clone(), listen: config.listen, started: process_files.started() };
+    let publisher = ListPublisher::new(
+        process_files.clone(),
+        driver.clone(),
+        current_settings.clone(),
+        writer.clone(),
+        source,
+        configured_version,
+    );
+    let (delivery_sender, deliveries) = mpsc::unbounded_channel();
+    let receiver = ListReceiver::new(
+        process_files.clone(),
+        current_settings.clone(),
+        driver.clock,
+        writer,
+        delivery_sender,
+    );
     if let Some(memory) = restored.learned.as_deref().and_then(|text| memory_from_json(text, names)) {
         log_event!(INFO, "state", backends = memory.backends.len(), "state.remembers");
         driver.restore_memory(memory);
@@ -292,6 +344,8 @@
         current_settings: current_settings.clone(),
         descriptors: descriptors.clone(),
         watch_requests,
+        publisher: publisher.clone(),
+        deliveries,
     };
     spawn_local(watch.run(driver.clone()));
     if let Some(sharing) = sharing.clone() {
@@ -318,7 +372,8 @@
         log_event!(INFO, "operator", backend = uid.as_str(), "operator.still_out");
     }
     if let Some(durable) = durable.clone() {
-        spawn_local(store_periodically(durable, driver.clone(), current_settings.clone()));
+        let (driver, publisher) = (driver.clone(), publisher.clone());
+        spawn_local(store_periodically(durable, driver, publisher, current_settings.clone()));
     }
     if let Some(listener) = operators {
         let descriptors = descriptors.clone();
@@ -352,9 +407,11 @@
         descriptors,
         upstream.clone(),
         current_settings.clone(),
+        ListExchange { publisher: publisher.clone(), receiver },
         UNCOUNTED_DESCRIPTORS + reserved,
     );
     spawn_local(handover.clone().run());
+    spawn_local(handover.clone().receive_lists());
     if let Some(sharing) = sharing.clone() {
         spawn_local(sharing.run(handover.clone()));
     }
@@ -365,7 +422,7 @@
     }
     let listener = listener.listen(BACKLOG).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     handover.start_serving();
-    log_event!(INFO, "node", name = config.name.as_str(), listen = %config.listen, ?settings, "node.serving");
+    log_serving(&config.name, config.listen, &settings, &publisher, &driver);
     let mut accepting = {
         let server = server.clone();
         spawn_local(async move { server.accept(listener).await })
--- a/src/node/process_files.rs
+++ b/src/node/process_files.rs
@@ -54,6 +54,8 @@
     /// Start time in milliseconds since 1970, and process ID. Of two processes the one with the greater
     /// value is newer.
     pub started: (u64, u32),
+    /// True if the process writes its backend list for the other processes.
+    pub hands_over_list: bool,
 }
 
 impl ProcessRecord {
@@ -62,12 +64,17 @@
         let stage = json.get("stage")?.as_str()?;
         let (stage, _) = Stage::ALL.into_iter().find(|(_, word)| *word == stage)?;
         let claim = usize::try_from(json.get("claim")?.as_u64()?).ok()?;
-        Some(ProcessRecord { stage, claim, started: (json.get("started_ms")?.as_u64()?, pid) })
+        let started = (json.get("started_ms")?.as_u64()?, pid);
+        // Builds that know no such files say nothing of them.
+        let hands_over_list = json.get("hands_over_list").and_then(Value::as_bool).unwrap_or(false);
+        Some(ProcessRecord { stage, claim, started, hands_over_list })
     }
 
     fn to_json(self) -> String {
         let stage = Stage::ALL.into_iter().find(|(s, _)| *s == self.stage).map(|(_, word)| word);
-        json!({"stage": stage, "claim": self.claim, "started_ms": self.started.0}).to_string()
+        json!({"stage": stage, "claim": self.claim, "started_ms": self.started.0,
+               "hands_over_list": self.hands_over_list})
+        .to_string()
     }
 }
 
@@ -110,7 +117,17 @@
 
     /// Returns the description of this process at a given stage.
     pub fn record(&self, stage: Stage, claim: usize) -> ProcessRecord {
-        ProcessRecord { stage, claim, started: (self.started_ms, self.pid) }
+        ProcessRecord { stage, claim, started: self.started(), hands_over_list: true }
+    }
+
+    /// Returns the start time of this process in milliseconds since 1970, and its process ID.
+    pub fn started(&self) -> (u64, u32) {
+        (self.started_ms, self.pid)
+    }
+
+    /// Returns the directory, if it can be written.
+    pub fn directory(&self) -> Option<&Path> {
+        self.dir.as_deref()
     }
 
     /// Publishes the description of this process. If that fails, the other processes do not see this one.
--- a/tests/node/mod.rs
+++ b/tests/node/mod.rs
@@ -327,12 +327,16 @@
 struct ListState {
     rev: u64,
     targets: Vec<Value>,
+    /// Entries that the last version has changed, if it is sent as changes.
+    changes: Option<Vec<Value>>,
     is_silent: bool,
     is_immediate: bool,
+    is_down: bool,
+    is_closed: bool,
     calls: Vec<String>,
 }
 
-/// A fake discovery service that always sends the full list.
+/// A fake discovery service that sends the full list unless it is told otherwise.
 #[derive(Clone)]
 pub struct Discovery {
     state: Arc<(Mutex<ListState>, Condvar)>,
@@ -353,7 +357,9 @@
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let own = own.clone();
-                thread::spawn(move || own.serve_connection(stream.unwrap()));
+                if !own.state.0.lock().unwrap().is_closed {
+                    thread::spawn(move || own.serve_connection(stream.unwrap()));
+                }
             }
         });
         discovery
@@ -371,14 +377,19 @@
             let (lock, changed) = &*self.state;
             let mut state = lock.lock().unwrap();
             state.calls.push(message.first_line.clone());
-            while state.is_silent || (!state.is_immediate && state.rev <= after && Instant::now() < end) {
+            while state.is_silent
+                || (!state.is_down && !state.is_immediate && state.rev <= after && Instant::now() < end)
+            {
                 state = changed.wait_timeout(state, Duration::from_millis(50)).unwrap().0;
             }
             let has_changed = state.rev > after;
-            let targets = if has_changed { state.targets.clone() } else { Vec::new() };
-            let body = json!({"rev": state.rev, "all": has_changed, "targets": targets}).to_string();
+            let changes = state.changes.clone().filter(|_| state.rev == after + 1);
+            let all = has_changed && changes.is_none();
+            let targets = if all { state.targets.clone() } else { changes.unwrap_or_default() };
+            let body = json!({"rev": state.rev, "all": all, "targets": targets}).to_string();
+            let status = if state.is_down { "503 Service Unavailable" } else { "200 OK" };
             drop(state);
-            if stream.write_all(&http_response("200 OK", "", body.as_bytes())).is_err() {
+            if stream.write_all(&http_response(status, "", body.as_bytes())).is_err() {
                 return;
             }
         }
@@ -389,9 +400,31 @@
         let mut state = self.state.0.lock().unwrap();
         state.rev += 1;
         state.targets = targets;
+        state.changes = None;
         self.state.1.notify_all();
     }
 
+    /// Replaces entries, or adds them, under a new version, which is sent as changes.
+    pub fn change_targets(&self, changes: Vec<Value>) {
+        let mut state = self.state.0.lock().unwrap();
+        state.rev += 1;
+        state.targets.retain(|target| changes.iter().all(|change| change["uid"] != target["uid"]));
+        state.targets.extend(changes.iter().filter(|change| change["state"] != "removed").cloned());
+        state.changes = Some(changes);
+        self.state.1.notify_all();
+    }
+
+    /// Answers all calls with 503, open watches included, while `is_down`.
+    pub fn set_down(&self, is_down: bool) {
+        self.state.0.lock().unwrap().is_down = is_down;
+        self.state.1.notify_all();
+    }
+
+    /// Closes new connections at once while `is_closed`. Open ones are served.
+    pub fn set_closed(&self, is_closed: bool) {
+        self.state.0.lock().unwrap().is_closed = is_closed;
+    }
+
     /// Leaves all calls unanswered while `is_silent`.
     pub fn set_silent(&self, is_silent: bool) {
         self.state.0.lock().unwrap().is_silent = is_silent;
@@ -528,6 +561,11 @@
         Node { address: self.address, operator, child, config_file, config, log, log_reader }
     }
 
+    /// Returns the process ID.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process by SIGKILL.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
--- a/tests/node_upgrade.rs
+++ b/tests/node_upgrade.rs
@@ -175,8 +175,9 @@
 #[test]
 fn the_old_process_serves_on_when_the_next_one_dies() {
     let Fixture { tmp, discovery, old, .. } = start_fixture("dies");
-    // A process that never receives a list never becomes healthy.
+    // A process that never receives a list, neither from discovery nor from the old process, never becomes healthy.
     discovery.set_silent(true);
+    old.suspend();
     let mut new = old.start_successor(&tmp.command());
     wait_for("the new process answers operators' calls", || {
         try_call_operator(new.operator, b"health\n").is_some()
@@ -184,6 +185,7 @@
     assert!(new.call("health").starts_with("ERR"));
     assert!(new.call("quiesce").starts_with("ERR"));
     new.kill();
+    old.resume();
     assert!(old.call("health").starts_with("OK"));
     for _ in 0..20 {
         assert_eq!(fetch(old.address, &request("bid", 900)).status(), 200);
