Read a handed-over list in pieces, and free the configured one once it is read

It built the old process's list on a thread of its own although discovery had told it as much, and the configuration's list, parsed as JSON, stayed in memory as long as the process ran. At 200 backends with lists that are asked for, an adopted list replaced the watch and the process waited 0.5 s for another answer.

Change: a list that is not newer than the reader's is passed over by its header; another is read 32 KiB at a time. The configured list is freed. A list of discovery from the old process counts as an answer to the wait before serving. Processes look for each other each 50 ms, and each 5 ms until they serve. A file says whether it is written for newer processes, so that the third process of upgrades in a row does not take the second one's updates for the whole list; changes_survive_upgrades_in_a_row failed six of six times once the reading was faster, and passes now.

--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -157,6 +157,7 @@
     fn change_address(&mut self, at: SocketAddr, how: Discovery) {
         self.calls.change_address(at);
         self.list_sync.discovery_changed(self.driver.clock.now_ms(), how);
+        self.publisher.set_discovery(at);
         self.publisher.set_watch_from(self.list_sync.version());
         log_event!(INFO, "discovery", %at, ?how, replaced_calls = self.calls.count(), "discovery.moved");
     }
@@ -388,23 +389,19 @@
     /// this process knows.
     async fn adopt(&mut self, update: HandedUpdate) {
         let HandedUpdate { kind, origin, pid, .. } = update;
-        let adoption = self.publisher.source().adoption(kind, &origin, self.calls.address());
-        let is_known = adoption == Adoption::Nothing
-            || adoption == Adoption::Departures && self.publisher.has_told_departures(&origin);
-        if !is_known || matches!(kind, UpdateKind::Full(_)) {
-            let now = self.driver.clock.to_machine_ms(self.driver.clock.now_ms());
-            let age_ms = (now - origin.received_ms).max(0.0) as u64;
-            let version = origin.version;
-            log_event!(INFO, "upgrade", pid, version, age_ms, ?kind, ?adoption, "upgrade.list");
+        let adoption = self.publisher.adoption(kind, &origin);
+        if adoption == Adoption::Nothing {
+            return;
         }
-        match adoption {
-            Adoption::Nothing => {}
-            Adoption::Departures if is_known => {}
-            Adoption::Departures => {
-                let departures = self.driver.departures(&update.content, false);
-                self.apply_departed(origin, departures).await;
-            }
-            Adoption::All => self.adopt_all(update).await,
+        let now = self.driver.clock.to_machine_ms(self.driver.clock.now_ms());
+        let age_ms = (now - origin.received_ms).max(0.0) as u64;
+        let version = origin.version;
+        log_event!(INFO, "upgrade", pid, version, age_ms, ?kind, ?adoption, "upgrade.list");
+        if adoption == Adoption::All {
+            self.adopt_all(update).await;
+        } else {
+            let departures = self.driver.departures(&update.content, false);
+            self.apply_departed(origin, departures).await;
         }
     }
 
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -14,8 +14,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Interval of the checks for other processes; twice as long while there are none.
+/// Interval of the checks for other processes, and of those of a process that waits to serve.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const STARTING_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Time for the old process to free descriptors before the new one accepts clients regardless.
 const DESCRIPTOR_WAIT: Duration = Duration::from_millis(1000);
 /// Time to wait for the first response of discovery, which may be newer than the known list, while the old
@@ -118,24 +119,18 @@
     /// Checks for other processes while the node runs.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let alone = self.others.borrow().is_empty();
-            tokio::time::sleep(if alone { 2 * CHECK_INTERVAL } else { CHECK_INTERVAL }).await;
+            tokio::time::sleep(CHECK_INTERVAL).await;
             self.update();
+            if self.stage.get() != Stage::Starting {
+                self.receive_lists().await;
+            }
         }
     }
 
-    /// Reads the lists of the other processes while the node runs.
-    pub async fn receive_lists(self: Rc<Self>) {
-        loop {
-            let others = self.others.borrow().clone();
-            self.lists.receiver.read_all(&others).await;
-            let pause = match self.stage.get() {
-                _ if others.is_empty() => 2 * CHECK_INTERVAL,
-                Stage::Starting => CHECK_INTERVAL / 5,
-                Stage::Serving | Stage::Stopping => CHECK_INTERVAL,
-            };
-            tokio::time::sleep(pause).await;
-        }
+    /// Reads what is new in the lists of the other processes.
+    async fn receive_lists(&self) {
+        let others = self.others.borrow().clone();
+        self.lists.receiver.read_all(&others).await;
     }
 
     /// Waits until this process may accept clients: at once without other processes, otherwise once it has
@@ -146,9 +141,12 @@
         }
         let begun = Instant::now();
         loop {
+            self.receive_lists().await;
             let waited = begun.elapsed();
-            let has_list = self.driver.has_list()
-                && (self.driver.has_discovery_responded() || waited > DISCOVERY_WAIT);
+            // The list of an old process that discovery has told is as good as an answer to this one.
+            let has_responded =
+                self.driver.has_discovery_responded() || self.lists.publisher.source().origin().is_some();
+            let has_list = self.driver.has_list() && (has_responded || waited > DISCOVERY_WAIT);
             let has_descriptors =
                 self.claimed_descriptors() <= self.pool.shared() * 3 / 4 || waited > DESCRIPTOR_WAIT;
             let has_handed_list =
@@ -156,7 +154,7 @@
             if (has_list || waited > FIRST_LIST_WAIT) && has_handed_list && has_descriptors {
                 return;
             }
-            tokio::time::sleep(CHECK_INTERVAL / 5).await;
+            tokio::time::sleep(STARTING_CHECK_INTERVAL).await;
             self.update();
         }
     }
--- a/src/node/handover_log.rs
+++ b/src/node/handover_log.rs
@@ -54,7 +54,9 @@
     pub written_ms: f64,
     /// Names of the zones, by the numbers that the lines have.
     pub zones: Vec<String>,
-    /// The list; none if the file has updates alone.
+    /// True if the file is written for newer processes, which need the list.
+    pub is_for_newer: bool,
+    /// The list; none if the file has updates alone, or discovery has not told the writer of any list.
     pub list: Option<ListHeader>,
 }
 
--- a/src/node/list_parser.rs
+++ b/src/node/list_parser.rs
@@ -13,7 +13,7 @@
 
 /// Maximum size of a response that is parsed on the event loop. A longer one takes longer than a request
 /// may wait, so it is parsed on a blocking thread, entry by entry.
-pub const MAX_INLINE_BYTES: usize = 64 * 1024;
+const MAX_INLINE_BYTES: usize = 64 * 1024;
 /// Maximum number of entries of a full list that is indexed on the event loop.
 pub const MAX_INLINE_ENTRIES: usize = 1024;
 /// Maximum number of unreadable entries of one list that are logged.
--- a/src/node/list_publisher.rs
+++ b/src/node/list_publisher.rs
@@ -9,12 +9,13 @@
 use crate::handover_log::{Frame, Header, Line, ListHeader, Update, Writer, preamble, write_frame};
 use crate::log::log_event;
 use crate::process_files::ProcessFiles;
-use daleturn::control::list_origin::{ListOrigin, ListSource, UpdateKind};
+use daleturn::control::list_origin::{Adoption, ListOrigin, ListSource, UpdateKind};
 use daleturn::control::subset::{LinePosition, Target};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -92,6 +93,8 @@
     current_settings: Rc<CurrentSettings>,
     writer: Writer,
     configured_version: Option<u64>,
+    /// Address of discovery.
+    discovery: Cell<SocketAddr>,
     held: RefCell<HeldList>,
     audience: Cell<Audience>,
     state: RefCell<FileState>,
@@ -106,7 +109,7 @@
 
 impl ListPublisher {
     /// Creates a publisher that does not write yet. `source` is what the list of this process is based on, and
-    /// `configured_version` the version of the configured list.
+    /// `configured_version` the version of the configured list; `discovery` is the address of discovery.
     pub fn new(
         process_files: Rc<ProcessFiles>,
         driver: Rc<Driver>,
@@ -114,6 +117,7 @@
         writer: Writer,
         source: ListSource,
         configured_version: Option<u64>,
+        discovery: SocketAddr,
     ) -> Rc<ListPublisher> {
         Rc::new(ListPublisher {
             process_files,
@@ -121,6 +125,7 @@
             current_settings,
             writer,
             configured_version,
+            discovery: Cell::new(discovery),
             held: RefCell::new(HeldList { source, watch_from: None, unconfirmed: VecDeque::new() }),
             audience: Cell::new(Audience::None),
             state: RefCell::new(FileState::Closed),
@@ -136,6 +141,20 @@
         self.held.borrow().source
     }
 
+    /// Sets the address of discovery.
+    pub fn set_discovery(&self, discovery: SocketAddr) {
+        self.discovery.set(discovery);
+    }
+
+    /// Returns which part of another process's update is applied to the list of this process.
+    pub fn adoption(&self, kind: UpdateKind, origin: &ListOrigin) -> Adoption {
+        let adoption = self.source().adoption(kind, origin, self.discovery.get());
+        if adoption == Adoption::Departures && self.has_told_departures(origin) {
+            return Adoption::Nothing;
+        }
+        adoption
+    }
+
     /// Returns the number of changes of the list.
     pub fn changes(&self) -> u64 {
         self.changes.get()
@@ -202,7 +221,7 @@
     }
 
     /// True if the departures by this response have been taken already.
-    pub fn has_told_departures(&self, origin: &ListOrigin) -> bool {
+    fn has_told_departures(&self, origin: &ListOrigin) -> bool {
         self.held.borrow().unconfirmed.iter().any(|update| update.origin == *origin)
     }
 
@@ -259,7 +278,8 @@
         let list = self.list_header();
         let written_ms = self.driver.clock.to_machine_ms(self.driver.clock.now_ms());
         let mut bytes = preamble(generation);
-        let header = Header { writer: self.writer.clone(), written_ms, zones, list };
+        let is_for_newer = self.audience.get() == Audience::Newer;
+        let header = Header { writer: self.writer.clone(), written_ms, zones, is_for_newer, list };
         write_frame(&mut bytes, &Frame::Header(header));
         fs::write(&draft, &bytes)?;
         let mut position: Option<LinePosition> = None;
--- a/src/node/list_receiver.rs
+++ b/src/node/list_receiver.rs
@@ -1,5 +1,6 @@
 //! Reads the backend lists that the node's other processes write, and passes them on to the watch of
-//! discovery. A list is read as long as its process runs, and once more when the process has ended.
+//! discovery. A list is read as long as its process runs, and once more when the process has ended. A long one
+//! is read in pieces, between which other tasks run.
 
 use crate::active_settings::CurrentSettings;
 use crate::driver::Clock;
@@ -7,12 +8,12 @@
     Frame, Header, LineReader, LogError, PREAMBLE_BYTES, RecordedStart, Update, Writer, read_frame,
     read_preamble,
 };
-use crate::list_parser::{ListContent, MAX_INLINE_BYTES, MAX_INLINE_ENTRIES};
-use crate::list_publisher::{list_path, remove_list, writers_in};
+use crate::list_parser::{ListContent, MAX_INLINE_ENTRIES};
+use crate::list_publisher::{ListPublisher, list_path, remove_list, writers_in};
 use crate::log::log_event;
 use crate::process_files::{ProcessFiles, ProcessRecord};
-use daleturn::control::list_origin::{ListOrigin, UpdateKind};
-use daleturn::control::subset::{Catalog, Target, home_zone};
+use daleturn::control::list_origin::{Adoption, ListOrigin, UpdateKind};
+use daleturn::control::subset::{Catalog, home_zone};
 use daleturn::interface::BackendId;
 use daleturn::wire::Names;
 use std::cell::RefCell;
@@ -25,6 +26,8 @@
 
 /// Maximum size of a file that is read.
 const MAX_FILE_BYTES: u64 = 64 * 1024 * 1024;
+/// Number of bytes read at once, unless a frame is longer.
+const PIECE_BYTES: usize = 32 * 1024;
 /// Longest time by which a file may seem to be written in the future, in milliseconds.
 const CLOCK_SLACK_MS: f64 = 1000.0;
 
@@ -58,7 +61,9 @@
 enum Expected {
     Header,
     /// Lines of the list, or its end. Holds the header and the list so far.
-    Lines(Box<Header>, LineReader, Vec<Target>),
+    Lines(Box<Header>, LineReader, Catalog),
+    /// The same of a list that is not newer than that of this process. Holds the zones of the writer.
+    KnownLines(Vec<String>),
     /// Updates, by a writer that knows these zones.
     Updates(Vec<String>),
 }
@@ -67,12 +72,14 @@
 struct FilePosition {
     generation: u32,
     offset: usize,
+    /// The file is written for newer processes.
+    is_for_newer: bool,
     expected: Expected,
 }
 
 impl FilePosition {
     fn start(generation: u32) -> FilePosition {
-        FilePosition { generation, offset: PREAMBLE_BYTES, expected: Expected::Header }
+        FilePosition { generation, offset: PREAMBLE_BYTES, is_for_newer: false, expected: Expected::Header }
     }
 }
 
@@ -88,14 +95,15 @@
 }
 
 /// What the frames of a file are converted with.
-struct Conversion {
+struct Conversion<'a> {
+    publisher: &'a ListPublisher,
     writer: Writer,
     now_ms: f64,
     names: Names,
     home_zone: Option<u16>,
 }
 
-impl Conversion {
+impl Conversion<'_> {
     /// Checks that a file is written by the process that it is named after.
     fn check(&self, header: &Header) -> Result<(), LogError> {
         let (expected, found) = (&self.writer, &header.writer);
@@ -113,54 +121,28 @@
         let Update { kind, origin, watch_from, lines } = update;
         let mut reader = LineReader::new(zones, &self.names);
         let targets = lines.into_iter().map(|line| reader.read(line)).collect();
-        self.update(kind, origin, watch_from, reader, targets)
+        self.update(kind, origin, watch_from, reader, ListContent::Entries(targets))
     }
 
-    /// Creates an update. A long list is indexed.
     fn update(
         &self,
         kind: UpdateKind,
         origin: ListOrigin,
         watch_from: Option<u64>,
         reader: LineReader,
-        targets: Vec<Target>,
+        content: ListContent,
     ) -> HandedUpdate {
-        let is_long = matches!(kind, UpdateKind::Full(_)) && targets.len() > MAX_INLINE_ENTRIES;
-        let content = if is_long {
-            ListContent::Catalog(Box::new(Catalog::from_lines(targets, self.home_zone)), 0)
-        } else {
-            ListContent::Entries(targets)
-        };
         let LineReader { starts, unknown_zones, .. } = reader;
         let pid = self.writer.started.1;
         HandedUpdate { kind, origin, watch_from, pid, content, starts, unknown_zones }
     }
 
-    /// Reads the frames in `bytes`, which follow the position, and advances the position past them. Returns
-    /// the updates up to the first error.
-    fn read_frames(
-        &self,
-        position: &mut FilePosition,
-        bytes: &[u8],
-    ) -> (Vec<HandedUpdate>, Result<(), LogError>) {
-        let mut updates = Vec::new();
-        let mut rest = bytes;
-        let result = loop {
-            let (frame, length) = match read_frame(rest, position.offset) {
-                Ok(Some(read)) => read,
-                Ok(None) => break Ok(()),
-                Err(e) => break Err(e),
-            };
-            match self.read_one(position, frame) {
-                Ok(update) => updates.extend(update),
-                Err(e) => break Err(e),
-            }
-            rest = &rest[length..];
-            position.offset += length;
-        };
-        // The file gets its name once the list is complete.
-        let is_complete = matches!(position.expected, Expected::Updates(_));
-        (updates, result.and(if is_complete { Ok(()) } else { Err(LogError::Truncated) }))
+    /// True if this process knows as much as the list after this header contains.
+    fn knows_list(&self, header: &Header) -> bool {
+        header.list.is_none_or(|list| {
+            let kind = UpdateKind::Full(list.configured_version);
+            self.publisher.adoption(kind, &list.origin) == Adoption::Nothing
+        })
     }
 
     /// Handles one frame. Returns the update that is complete with it.
@@ -173,18 +155,31 @@
         let (next, update) = match (expected, frame) {
             (Expected::Header, Frame::Header(header)) => {
                 self.check(&header)?;
-                let reader = LineReader::new(&header.zones, &self.names);
-                (Expected::Lines(Box::new(header), reader, Vec::new()), None)
+                position.is_for_newer = header.is_for_newer;
+                if self.knows_list(&header) {
+                    (Expected::KnownLines(header.zones), None)
+                } else {
+                    let reader = LineReader::new(&header.zones, &self.names);
+                    let catalog = Catalog::from_lines([], self.home_zone);
+                    (Expected::Lines(Box::new(header), reader, catalog), None)
+                }
             }
-            (Expected::Lines(header, mut reader, mut targets), Frame::Lines(lines)) => {
-                targets.extend(lines.into_iter().map(|line| reader.read(line)));
-                (Expected::Lines(header, reader, targets), None)
+            (Expected::KnownLines(zones), Frame::Lines(_)) => (Expected::KnownLines(zones), None),
+            (Expected::KnownLines(zones), Frame::ListEnd) => (Expected::Updates(zones), None),
+            (Expected::Lines(header, mut reader, mut catalog), Frame::Lines(lines)) => {
+                lines.into_iter().for_each(|line| catalog.insert(reader.read(line)));
+                (Expected::Lines(header, reader, catalog), None)
             }
-            (Expected::Lines(header, reader, targets), Frame::ListEnd) => {
+            (Expected::Lines(header, reader, catalog), Frame::ListEnd) => {
                 let Header { zones, list, .. } = *header;
+                let content = if catalog.len() > MAX_INLINE_ENTRIES {
+                    ListContent::Catalog(Box::new(catalog), 0)
+                } else {
+                    ListContent::Entries(catalog.lines().cloned().collect())
+                };
                 let update = list.map(|list| {
                     let kind = UpdateKind::Full(list.configured_version);
-                    self.update(kind, list.origin, list.watch_from, reader, targets)
+                    self.update(kind, list.origin, list.watch_from, reader, content)
                 });
                 (Expected::Updates(zones), update)
             }
@@ -199,36 +194,39 @@
     }
 }
 
-/// Part of a file that has not been read before.
-struct NewBytes {
+/// The file of another process, open at the place up to which it has been read.
+struct OpenFile {
+    file: File,
     generation: u32,
-    bytes: Vec<u8>,
+    length: u64,
 }
 
-/// Reads what has been added to a file since the position. Returns `None` if nothing has.
-fn read_new_bytes(path: &Path, read_up_to: Option<(u32, usize)>) -> io::Result<Option<NewBytes>> {
-    let mut file = File::open(path)?;
-    let mut preamble = [0; PREAMBLE_BYTES];
-    file.read_exact(&mut preamble)?;
-    let generation = read_preamble(&preamble).map_err(io::Error::other)?;
-    let read_up_to = read_up_to.filter(|(known, _)| *known == generation).map(|(_, offset)| offset);
-    let offset = read_up_to.unwrap_or(PREAMBLE_BYTES);
-    let length = file.metadata()?.len();
-    if length > MAX_FILE_BYTES {
-        return Err(io::Error::other(format!("longer than {MAX_FILE_BYTES} bytes")));
+impl OpenFile {
+    fn open(path: &Path) -> io::Result<OpenFile> {
+        let mut file = File::open(path)?;
+        let mut preamble = [0; PREAMBLE_BYTES];
+        file.read_exact(&mut preamble)?;
+        let generation = read_preamble(&preamble).map_err(io::Error::other)?;
+        let length = file.metadata()?.len();
+        if length > MAX_FILE_BYTES {
+            return Err(io::Error::other(format!("longer than {MAX_FILE_BYTES} bytes")));
+        }
+        Ok(OpenFile { file, generation, length })
     }
-    if read_up_to.is_some() && length <= offset as u64 {
-        return Ok(None);
+
+    /// Reads up to `count` bytes from `offset` on.
+    fn read_at(&mut self, offset: usize, count: usize) -> io::Result<Vec<u8>> {
+        self.file.seek(SeekFrom::Start(offset as u64))?;
+        let mut bytes = Vec::with_capacity(count);
+        Read::by_ref(&mut self.file).take(count as u64).read_to_end(&mut bytes)?;
+        Ok(bytes)
     }
-    file.seek(SeekFrom::Start(offset as u64))?;
-    let mut bytes = Vec::with_capacity(usize::try_from(length).unwrap_or(0).saturating_sub(offset));
-    file.take(MAX_FILE_BYTES).read_to_end(&mut bytes)?;
-    Ok(Some(NewBytes { generation, bytes }))
 }
 
 /// Reads the lists of the node's other processes.
 pub struct ListReceiver {
     process_files: Rc<ProcessFiles>,
+    publisher: Rc<ListPublisher>,
     current_settings: Rc<CurrentSettings>,
     clock: Clock,
     /// This process, as it describes itself in its own file.
@@ -241,6 +239,7 @@
     /// Creates a receiver. Lists that processes have left which do not run any more are removed.
     pub fn new(
         process_files: Rc<ProcessFiles>,
+        publisher: Rc<ListPublisher>,
         current_settings: Rc<CurrentSettings>,
         clock: Clock,
         writer: Writer,
@@ -256,7 +255,7 @@
             }
         }
         let sources = RefCell::default();
-        ListReceiver { process_files, current_settings, clock, writer, sources, deliveries }
+        ListReceiver { process_files, publisher, current_settings, clock, writer, sources, deliveries }
     }
 
     /// True if the lists of these processes have been handled, as far as they write any.
@@ -292,54 +291,74 @@
     async fn read(&self, pid: u32, has_ended: bool) {
         let Some(path) = self.process_files.directory().map(|dir| list_path(dir, pid)) else { return };
         let Some(mut source) = self.sources.borrow_mut().remove(&pid) else { return };
-        let read_up_to = source.position.as_ref().map(|position| (position.generation, position.offset));
-        match read_new_bytes(&path, read_up_to) {
-            Ok(Some(new)) if source.ignored != Some(new.generation) => {
-                self.handle_bytes(&mut source, new, has_ended).await;
+        match OpenFile::open(&path) {
+            Ok(file) if source.ignored != Some(file.generation) => {
+                self.read_file(&mut source, file, has_ended).await;
             }
             Ok(_) => {}
             Err(e) if e.kind() == io::ErrorKind::NotFound => {}
-            Err(e) if source.ignored.is_none() => {
-                self.ignore(&mut source, 0, &e.to_string());
-            }
+            Err(e) if source.ignored.is_none() => self.ignore(&mut source, 0, &e.to_string()),
             Err(_) => {}
         }
         self.sources.borrow_mut().insert(pid, source);
     }
 
-    async fn handle_bytes(&self, source: &mut Source, new: NewBytes, has_ended: bool) {
-        let NewBytes { generation, bytes } = new;
+    /// Reads a file from the place up to which it has been read, and delivers its updates.
+    async fn read_file(&self, source: &mut Source, mut file: OpenFile, has_ended: bool) {
+        let generation = file.generation;
         let position = source.position.take().filter(|position| position.generation == generation);
         let mut position = position.unwrap_or_else(|| FilePosition::start(generation));
-        let end = position.offset + bytes.len();
-        let conversion = self.conversion(source.started);
-        let read = move || {
-            let (updates, result) = conversion.read_frames(&mut position, &bytes);
-            (position, updates, result)
-        };
-        let read =
-            if end <= MAX_INLINE_BYTES { Ok(read()) } else { tokio::task::spawn_blocking(read).await };
-        let Ok((position, updates, result)) = read else {
-            return self.ignore(source, generation, &LogError::Truncated.to_string());
-        };
-        for update in updates {
-            self.deliver(update).await;
+        if let Err(reason) = self.read_pieces(&mut position, &mut file, source.started).await {
+            self.ignore(source, generation, &reason);
+        } else if !matches!(position.expected, Expected::Updates(_))
+            || has_ended && (position.offset as u64) < file.length
+        {
+            // The file gets its name once the list is complete.
+            self.ignore(source, generation, &LogError::Truncated.to_string());
         }
-        let has_rest = position.offset < end;
-        match result {
-            Err(e) => self.ignore(source, generation, &e.to_string()),
-            Ok(()) if has_ended && has_rest => {
-                self.ignore(source, generation, &LogError::Truncated.to_string());
+        // A process that does not know of this one yet writes for older ones alone.
+        source.is_received |= position.is_for_newer;
+        source.position = Some(position);
+    }
+
+    /// Reads the complete frames of a file, a piece at a time, and delivers their updates.
+    async fn read_pieces(
+        &self,
+        position: &mut FilePosition,
+        file: &mut OpenFile,
+        started: (u64, u32),
+    ) -> Result<(), String> {
+        let mut count = PIECE_BYTES;
+        while (position.offset as u64) < file.length {
+            let bytes = file.read_at(position.offset, count).map_err(|e| e.to_string())?;
+            let mut rest = bytes.as_slice();
+            while let Some((frame, length)) =
+                read_frame(rest, position.offset).map_err(|e| e.to_string())?
+            {
+                let update =
+                    self.conversion(started).read_one(position, frame).map_err(|e| e.to_string())?;
+                if let Some(update) = update {
+                    self.deliver(update).await;
+                }
+                rest = &rest[length..];
+                position.offset += length;
             }
-            Ok(()) => {}
+            if rest.len() == bytes.len() {
+                if bytes.len() < count {
+                    // The last frame is not complete.
+                    return Ok(());
+                }
+                count *= 2;
+            }
+            tokio::task::yield_now().await;
         }
-        source.position = Some(position);
-        source.is_received = true;
+        Ok(())
     }
 
-    fn conversion(&self, started: (u64, u32)) -> Conversion {
+    fn conversion(&self, started: (u64, u32)) -> Conversion<'_> {
         let active = self.current_settings.get();
         Conversion {
+            publisher: &self.publisher,
             writer: Writer { started, ..self.writer.clone() },
             now_ms: self.clock.to_machine_ms(self.clock.now_ms()),
             names: active.names.of_zones(),
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -208,7 +208,7 @@
 }
 
 /// Runs the node until it has stopped.
-async fn run(config: Config, options: Options, log: Rc<Log>) -> Result<(), Box<dyn Error>> {
+async fn run(mut config: Config, options: Options, log: Rc<Log>) -> Result<(), Box<dyn Error>> {
     let started = Instant::now();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -270,7 +270,7 @@
     let names = &current_settings.get().names;
     let machine_now_ms = driver.clock.to_machine_ms(driver.clock.now_ms());
     let InitialList { list, source, configured_version } =
-        InitialList::select(&config.known, restored.list.as_ref(), names, machine_now_ms);
+        InitialList::select(&config.known.take(), restored.list.as_ref(), names, machine_now_ms);
     let version = list.as_ref().and_then(list_parser::ParsedList::complete_version);
     driver.set_list_version(version);
     if let Some(list) = list {
@@ -286,10 +286,12 @@
         writer.clone(),
         source,
         configured_version,
+        config.discovery,
     );
     let (delivery_sender, deliveries) = mpsc::unbounded_channel();
     let receiver = ListReceiver::new(
         process_files.clone(),
+        publisher.clone(),
         current_settings.clone(),
         driver.clock,
         writer,
@@ -411,7 +413,6 @@
         UNCOUNTED_DESCRIPTORS + reserved,
     );
     spawn_local(handover.clone().run());
-    spawn_local(handover.clone().receive_lists());
     if let Some(sharing) = sharing.clone() {
         spawn_local(sharing.run(handover.clone()));
     }
