Order the processes of a node by the machine's monotonic clock

What callers would see: with the wall clock set back by an hour between the starts of the two processes of an upgrade, the new process did not become healthy within 10 s, and the old one, told to end, saw no successor.

Cause: the order of a node's processes was that of their wall-clock start times. Found while lists were handed over, which needs the same order.

Change: the record of a process has its start on the machine's monotonic clock too, and that decides; beside a build without it the wall clock does as before. The start has a type of its own in place of a pair of numbers.

Test: a_step_between_the_processes_of_an_upgrade_changes_neither_their_order_nor_the_age_of_a_backend fails on the code before ('timed out waiting for: the new process is healthy') and passes now, with steps forward and back; it also holds that a backend that has just started stays cold in the new process.

--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -10,6 +10,7 @@
 use crate::initial_list::UNCONFIRMED_FIELD;
 use crate::list_parser::ListContent;
 use crate::log::{self, log_event};
+use crate::machine_clock::machine_now_ms;
 use crate::order_records::OrderRecords;
 use crate::peers::Peers;
 use crate::process_files::ProcessFiles;
@@ -29,7 +30,6 @@
 use daleturn::options::Options;
 use daleturn::wire::stable_hash;
 use hyper::StatusCode;
-use rustix::time::{ClockId, clock_gettime};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -52,12 +52,6 @@
     machine_start_ms: f64,
 }
 
-/// Returns the time on the machine's monotonic clock, which all processes read alike, in milliseconds.
-fn machine_now_ms() -> f64 {
-    let now = clock_gettime(ClockId::Monotonic);
-    now.tv_sec as f64 * 1000.0 + now.tv_nsec as f64 / 1e6
-}
-
 impl Clock {
     /// Starts the clock at the current system time.
     pub fn new() -> Clock {
--- a/src/node/handover.rs
+++ b/src/node/handover.rs
@@ -173,8 +173,8 @@
 
     /// True if a newer process of this node accepts clients.
     pub fn has_successor(&self) -> bool {
-        let own = self.process_files.record(self.stage.get(), 0);
-        self.others.borrow().iter().any(|o| o.started > own.started && o.stage == Stage::Serving)
+        let own = self.process_files.started();
+        self.others.borrow().iter().any(|o| o.started.is_after(&own) && o.stage == Stage::Serving)
     }
 
     /// True if this process accepts clients.
@@ -186,8 +186,7 @@
     pub fn begin_stopping(&self) -> bool {
         self.stage.set(Stage::Stopping);
         self.update();
-        let own = self.process_files.record(Stage::Stopping, 0);
-        self.others.borrow().iter().any(|o| o.started > own.started && o.stage == Stage::Serving)
+        self.has_successor()
     }
 
     /// Returns the number of descriptors that the other processes claim.
@@ -197,11 +196,14 @@
 
     /// Returns the role of this process among the running ones.
     fn role(&self) -> Role {
-        let own = self.process_files.record(self.stage.get(), 0);
-        match self.others.borrow().iter().map(|o| o.started).max() {
-            None => Role::Alone,
-            Some(newest) if newest > own.started => Role::Older,
-            Some(_) => Role::Newer(self.claimed_descriptors()),
+        let own = self.process_files.started();
+        let others = self.others.borrow();
+        if others.is_empty() {
+            Role::Alone
+        } else if others.iter().any(|o| o.started.is_after(&own)) {
+            Role::Older
+        } else {
+            Role::Newer(self.claimed_descriptors())
         }
     }
 
@@ -209,10 +211,13 @@
     fn audience(&self) -> Audience {
         let own = self.process_files.started();
         let others = self.others.borrow();
-        match others.iter().filter(|o| o.hands_over_list).map(|o| o.started).max() {
-            None => Audience::None,
-            Some(newest) if newest > own => Audience::Newer,
-            Some(_) => Audience::Older,
+        let mut readers = others.iter().filter(|o| o.hands_over_list).peekable();
+        if readers.peek().is_none() {
+            Audience::None
+        } else if readers.any(|o| o.started.is_after(&own)) {
+            Audience::Newer
+        } else {
+            Audience::Older
         }
     }
 
@@ -223,7 +228,9 @@
             Role::Older => MemoryShare::Older,
             Role::Newer(_) => {
                 let others = self.others.borrow();
-                MemoryShare::Newer(others.iter().filter_map(|other| resident_bytes(other.started.1)).sum())
+                MemoryShare::Newer(
+                    others.iter().filter_map(|other| resident_bytes(other.started.pid)).sum(),
+                )
             }
         }
     }
--- a/src/node/handover_log.rs
+++ b/src/node/handover_log.rs
@@ -6,6 +6,7 @@
 //! read. A frame has a length and a checksum, so a reader recognizes a damaged file, and a frame that is not
 //! written completely yet.
 
+use crate::process_files::ProcessStart;
 use daleturn::control::list_origin::{ListOrigin, UpdateKind};
 use daleturn::control::subset::Target;
 use daleturn::interface::{BackendId, Health, ListEntry};
@@ -30,8 +31,8 @@
     pub node: String,
     /// Address of the node for clients.
     pub listen: SocketAddr,
-    /// Start time of the process in milliseconds since 1970, and its process ID.
-    pub started: (u64, u32),
+    /// Start of the process.
+    pub started: ProcessStart,
 }
 
 /// The list at the time at which its writer began the file.
--- a/src/node/list_publisher.rs
+++ b/src/node/list_publisher.rs
@@ -268,7 +268,7 @@
 
     /// Writes the list, unless the file is begun again meanwhile.
     async fn write_list(&self, dir: &Path, generation: u32) -> io::Result<()> {
-        let draft = dir.join(format!("{DRAFT_PREFIX}{}", self.writer.started.1));
+        let draft = dir.join(format!("{DRAFT_PREFIX}{}", self.writer.started.pid));
         let active = self.current_settings.get();
         let zones: Vec<String> = (0..active.names.zone_count())
             .filter_map(|zone| active.names.zone_name(u16::try_from(zone).ok()?))
@@ -301,7 +301,7 @@
             bytes.extend_from_slice(updates);
         }
         append(&draft, &bytes)?;
-        fs::rename(&draft, list_path(dir, self.writer.started.1))?;
+        fs::rename(&draft, list_path(dir, self.writer.started.pid))?;
         self.state.replace(FileState::Open(bytes.len()));
         Ok(())
     }
@@ -338,7 +338,7 @@
             }
         };
         let Some(dir) = self.process_files.directory() else { return };
-        if let Err(e) = append(&list_path(dir, self.writer.started.1), &bytes) {
+        if let Err(e) = append(&list_path(dir, self.writer.started.pid), &bytes) {
             self.fail(&e);
         } else if size > MAX_UPDATE_BYTES {
             self.begin();
@@ -354,7 +354,7 @@
     /// Removes the file.
     fn remove(&self) {
         if let Some(dir) = self.process_files.directory() {
-            remove_list(dir, self.writer.started.1);
+            remove_list(dir, self.writer.started.pid);
         }
     }
 
--- a/src/node/list_receiver.rs
+++ b/src/node/list_receiver.rs
@@ -11,7 +11,7 @@
 use crate::list_parser::{ListContent, MAX_INLINE_ENTRIES};
 use crate::list_publisher::{ListPublisher, list_path, remove_list, writers_in};
 use crate::log::log_event;
-use crate::process_files::{ProcessFiles, ProcessRecord};
+use crate::process_files::{ProcessFiles, ProcessRecord, ProcessStart};
 use daleturn::control::list_origin::{Adoption, ListOrigin, UpdateKind};
 use daleturn::control::subset::{Catalog, home_zone};
 use daleturn::interface::BackendId;
@@ -85,7 +85,7 @@
 
 /// Another process of this node.
 struct Source {
-    started: (u64, u32),
+    started: ProcessStart,
     /// The place up to which its file has been read; none before the file is there.
     position: Option<FilePosition>,
     /// Generation of a file that is not used.
@@ -133,7 +133,7 @@
         content: ListContent,
     ) -> HandedUpdate {
         let LineReader { starts, unknown_zones, .. } = reader;
-        let pid = self.writer.started.1;
+        let pid = self.writer.started.pid;
         HandedUpdate { kind, origin, watch_from, pid, content, starts, unknown_zones }
     }
 
@@ -247,7 +247,7 @@
     ) -> ListReceiver {
         if let Some(dir) = process_files.directory() {
             let writers = writers_in(dir);
-            let running: Vec<u32> = process_files.other_processes().iter().map(|p| p.started.1).collect();
+            let running: Vec<u32> = process_files.other_processes().iter().map(|p| p.started.pid).collect();
             for pid in writers.into_iter().filter(|pid| !running.contains(pid)) {
                 let reason = LogError::Stale.to_string();
                 log_event!(INFO, "upgrade", pid, reason = reason.as_str(), "upgrade.list_ignored");
@@ -262,8 +262,8 @@
     pub fn has_received(&self, others: &[ProcessRecord]) -> bool {
         let sources = self.sources.borrow();
         let own = self.process_files.started();
-        let mut older = others.iter().filter(|other| other.hands_over_list && other.started < own);
-        older.all(|other| sources.get(&other.started.1).is_some_and(|source| source.is_received))
+        let mut older = others.iter().filter(|other| other.hands_over_list && own.is_after(&other.started));
+        older.all(|other| sources.get(&other.started.pid).is_some_and(|source| source.is_received))
     }
 
     /// Reads the files of the other processes that are running, and for a last time those of the ones that
@@ -272,10 +272,10 @@
         for other in others {
             let source =
                 Source { started: other.started, position: None, ignored: None, is_received: false };
-            self.sources.borrow_mut().entry(other.started.1).or_insert(source);
-            self.read(other.started.1, false).await;
+            self.sources.borrow_mut().entry(other.started.pid).or_insert(source);
+            self.read(other.started.pid, false).await;
         }
-        let is_running = |pid: &u32| others.iter().any(|other| other.started.1 == *pid);
+        let is_running = |pid: &u32| others.iter().any(|other| other.started.pid == *pid);
         let ended: Vec<u32> =
             self.sources.borrow().keys().copied().filter(|pid| !is_running(pid)).collect();
         for pid in ended {
@@ -326,7 +326,7 @@
         &self,
         position: &mut FilePosition,
         file: &mut OpenFile,
-        started: (u64, u32),
+        started: ProcessStart,
     ) -> Result<(), String> {
         let mut count = PIECE_BYTES;
         while (position.offset as u64) < file.length {
@@ -355,7 +355,7 @@
         Ok(())
     }
 
-    fn conversion(&self, started: (u64, u32)) -> Conversion<'_> {
+    fn conversion(&self, started: ProcessStart) -> Conversion<'_> {
         let active = self.current_settings.get();
         Conversion {
             publisher: &self.publisher,
@@ -376,7 +376,7 @@
 
     /// Uses no more of a file.
     fn ignore(&self, source: &mut Source, generation: u32, reason: &str) {
-        let pid = source.started.1;
+        let pid = source.started.pid;
         log_event!(WARN, "upgrade", pid, reason, "upgrade.list_ignored");
         source.ignored = Some(generation);
         source.is_received = true;
--- a/src/node/main.rs
+++ b/src/node/main.rs
@@ -17,6 +17,7 @@
 mod list_publisher;
 mod list_receiver;
 mod log;
+mod machine_clock;
 mod memory_budget;
 mod operator;
 mod order_records;
--- a/src/node/process_files.rs
+++ b/src/node/process_files.rs
@@ -5,8 +5,10 @@
 //! is ignored.
 
 use crate::log::log_event;
+use crate::machine_clock::machine_now_ms;
 use daleturn::interface::{BackendId, BackendMemory, Memory};
 use daleturn::wire::{Names, stable_hash};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs::{self, File, TryLockError};
@@ -44,6 +46,28 @@
         [(Stage::Starting, "starting"), (Stage::Serving, "serving"), (Stage::Stopping, "stopping")];
 }
 
+/// Start of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProcessStart {
+    /// Process ID.
+    pub pid: u32,
+    /// Wall-clock time in milliseconds since 1970.
+    pub wall_ms: u64,
+    /// Time in milliseconds on the machine's monotonic clock; none in the records of older builds.
+    pub monotonic_ms: Option<u64>,
+}
+
+impl ProcessStart {
+    /// True if this process is newer than `other`. The wall clock may have been stepped between the two
+    /// starts, so it decides only where the monotonic clock is not known.
+    pub fn is_after(&self, other: &ProcessStart) -> bool {
+        match (self.monotonic_ms, other.monotonic_ms) {
+            (Some(own), Some(others)) => (own, self.pid) > (others, other.pid),
+            _ => (self.wall_ms, self.pid) > (other.wall_ms, other.pid),
+        }
+    }
+}
+
 /// Description of a process for the other processes of the same node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessRecord {
@@ -51,9 +75,8 @@
     pub stage: Stage,
     /// Number of descriptors that the process may use.
     pub claim: usize,
-    /// Start time in milliseconds since 1970, and process ID. Of two processes the one with the greater
-    /// value is newer.
-    pub started: (u64, u32),
+    /// Start of the process.
+    pub started: ProcessStart,
     /// True if the process writes its backend list for the other processes.
     pub hands_over_list: bool,
 }
@@ -64,7 +87,9 @@
         let stage = json.get("stage")?.as_str()?;
         let (stage, _) = Stage::ALL.into_iter().find(|(_, word)| *word == stage)?;
         let claim = usize::try_from(json.get("claim")?.as_u64()?).ok()?;
-        let started = (json.get("started_ms")?.as_u64()?, pid);
+        let wall_ms = json.get("started_ms")?.as_u64()?;
+        let monotonic_ms = json.get("started_monotonic_ms").and_then(Value::as_u64);
+        let started = ProcessStart { pid, wall_ms, monotonic_ms };
         // Builds that know no such files say nothing of them.
         let hands_over_list = json.get("hands_over_list").and_then(Value::as_bool).unwrap_or(false);
         Some(ProcessRecord { stage, claim, started, hands_over_list })
@@ -72,8 +97,8 @@
 
     fn to_json(self) -> String {
         let stage = Stage::ALL.into_iter().find(|(s, _)| *s == self.stage).map(|(_, word)| word);
-        json!({"stage": stage, "claim": self.claim, "started_ms": self.started.0,
-               "hands_over_list": self.hands_over_list})
+        json!({"stage": stage, "claim": self.claim, "started_ms": self.started.wall_ms,
+               "started_monotonic_ms": self.started.monotonic_ms, "hands_over_list": self.hands_over_list})
         .to_string()
     }
 }
@@ -82,7 +107,7 @@
 pub struct ProcessFiles {
     dir: Option<PathBuf>,
     pid: u32,
-    started_ms: u64,
+    started: ProcessStart,
     /// Locked while this process runs; the operating system releases the lock however the process ends.
     _lock: Option<File>,
 }
@@ -98,9 +123,13 @@
     }
 
     fn at(dir: Option<PathBuf>, pid: u32) -> ProcessFiles {
-        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let started_ms = u64::try_from(started.as_millis()).unwrap_or(u64::MAX);
-        ProcessFiles { dir, pid, started_ms, _lock: None }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let started = ProcessStart {
+            pid,
+            wall_ms: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX),
+            monotonic_ms: Some(machine_now_ms() as u64),
+        };
+        ProcessFiles { dir, pid, started, _lock: None }
     }
 
     fn open_in(tmp: &Path, listen: SocketAddr, pid: u32) -> ProcessFiles {
@@ -117,12 +146,12 @@
 
     /// Returns the description of this process at a given stage.
     pub fn record(&self, stage: Stage, claim: usize) -> ProcessRecord {
-        ProcessRecord { stage, claim, started: self.started(), hands_over_list: true }
+        ProcessRecord { stage, claim, started: self.started, hands_over_list: true }
     }
 
-    /// Returns the start time of this process in milliseconds since 1970, and its process ID.
-    pub fn started(&self) -> (u64, u32) {
-        (self.started_ms, self.pid)
+    /// Returns the start of this process.
+    pub fn started(&self) -> ProcessStart {
+        self.started
     }
 
     /// Returns the directory, if it can be written.
@@ -384,7 +413,7 @@
         assert!(old.other_processes().is_empty(), "it has not published its record yet");
         new.publish(new.record(Stage::Starting, 20));
         assert_eq!(old.other_processes(), [new.record(Stage::Starting, 20)]);
-        assert!(old.other_processes()[0].started > new.other_processes()[0].started);
+        assert!(old.other_processes()[0].started.is_after(&new.other_processes()[0].started));
         assert!(
             ProcessFiles::open_in(&tmp, ([127, 0, 0, 1], 81).into(), 3).other_processes().is_empty(),
             "another node"
@@ -396,6 +425,18 @@
         let _ = fs::remove_dir_all(tmp);
     }
 
+    #[test]
+    fn a_step_of_the_wall_clock_does_not_change_the_order_of_processes() {
+        let at = |pid, wall_ms, monotonic_ms| ProcessStart { pid, wall_ms, monotonic_ms };
+        let (old, stepped_back) = (at(9, 7_200_000, Some(100)), at(8, 3_600_000, Some(200)));
+        assert!(stepped_back.is_after(&old) && !old.is_after(&stepped_back));
+        // A build that records no monotonic time.
+        let (older_build, newer_build) = (at(9, 3_600_000, None), at(8, 3_600_001, Some(200)));
+        assert!(newer_build.is_after(&older_build) && !older_build.is_after(&newer_build));
+        let same_time = at(10, 0, Some(100));
+        assert!(same_time.is_after(&old) && !old.is_after(&same_time) && !old.is_after(&old));
+    }
+
     #[test]
     fn unlocked_or_unreadable_process_files_are_ignored() {
         let tmp = scratch("leftover");
--- a/tests/node_clock.rs
+++ b/tests/node_clock.rs
@@ -179,3 +179,43 @@
     assert_eq!(is_cold(&node, "s-1"), Some(true));
     assert_eq!(is_cold(&node, "s-0"), Some(false), "a backend of the first list is warm");
 }
+
+/// Guards against the order of two processes, and the age of a backend, that follow a step of the wall clock between
+/// the starts of the two: the old process took itself for the newer one, and told clients' proxies that it stops.
+#[test]
+fn a_step_between_the_processes_of_an_upgrade_changes_neither_their_order_nor_the_age_of_a_backend() {
+    for behind in [true, false] {
+        let clock = create_clock(&format!("clock-upgrade-{behind}"), Duration::ZERO, false);
+        let traffic = Traffic::default();
+        let addresses = start_backends(2, &traffic, |_, _| ok(b"x"));
+        let warm = entry_started_ago("s-0", addresses[0], 7_200_000);
+        let discovery = Discovery::start(vec![warm.clone()]);
+        let command = format!(
+            "TMPDIR='{}' LD_PRELOAD='{}' {OFFSET_FILE}='{}' exec \"$0\"",
+            clock.parent().unwrap().display(),
+            fault_library().display(),
+            clock.display()
+        );
+        let mut old = Node::launch(
+            discovery.address,
+            |c| c["settings"]["rules"]["coldMs"] = json!(1_800_000.0),
+            &command,
+        );
+        wait_for("the node has the list", || old.count_log_lines("discovery.listed") > 0);
+        discovery.set_targets(vec![warm, entry_started_ago("s-1", addresses[1], 0)]);
+        wait_for("the new backend is listed", || is_cold(&old, "s-1") == Some(true));
+        discovery.set_down(true);
+        set_offset(&clock, HOUR, behind).unwrap();
+        let mut new = old.start_successor(&command);
+        wait_for("the new process is healthy", || {
+            new.try_call("health").is_some_and(|a| a.starts_with("OK"))
+        });
+        assert_eq!((is_cold(&new, "s-0"), is_cold(&new, "s-1")), (Some(false), Some(true)), "{behind}");
+        old.terminate();
+        assert!(old.wait_for_exit().success());
+        assert!(old.log().contains("successor=true"), "{behind}: {}", old.log());
+        assert_eq!(new.up_status(), 200);
+        new.kill();
+        assert!(new.log().contains("role=\"new of two\""), "{behind}: {}", new.log());
+    }
+}
