Test that an upgrade under a supervisor keeps what discovery has told

Need: the supervisor's upgrade is one of the ways by which a node's list is handed over; no test held it there.

Change: a test with a supervisor, an outage of discovery and an upgrade; the fixture takes discovery's address.

--- a/crates/cli/tests/supervise.rs
+++ b/crates/cli/tests/supervise.rs
@@ -6,6 +6,7 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -54,11 +55,11 @@
     std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o755)).unwrap();
 }
 
-fn start_supervisor(name: &str) -> TestSupervisor {
+fn start_supervisor(name: &str, discovery: SocketAddr) -> TestSupervisor {
     let dir = std::env::temp_dir().join(format!("daleturn-supervise-{name}-{}", std::process::id()));
     std::fs::create_dir_all(dir.join("tmp")).unwrap();
     let config = serde_json::json!({
-        "name": "n0", "listen": free_address().to_string(), "discovery": free_address().to_string(), "seed": "1",
+        "name": "n0", "listen": free_address().to_string(), "discovery": discovery.to_string(), "seed": "1",
         "known": {"rev": 1, "all": true, "targets": [{"uid": "s-0", "endpoint": free_address().to_string(), "az": "a",
             "pod_group": 0, "state": "up", "capacity_hint": 1.0, "boot_ms": 0}]},
         "settings": {"areas": ["a"], "instances": 1, "tickMs": 5.0,
@@ -113,7 +114,7 @@
 
 #[test]
 fn failed_upgrade_leaves_the_old_version_serving() {
-    let test = start_supervisor("bad");
+    let test = start_supervisor("bad", free_address());
     let before = versions(test.address);
     assert_eq!(before["serves"], "one");
     let crashed = call(test.address, "upgrade crash").unwrap();
@@ -128,7 +129,7 @@
 
 #[test]
 fn killed_node_is_restarted_and_stops_with_its_supervisor() {
-    let mut test = start_supervisor("killed");
+    let mut test = start_supervisor("killed", free_address());
     assert!(call(test.address, "upgrade two").unwrap().starts_with("OK two serves"));
     let pid = versions(test.address)["pid"].as_u64().unwrap();
     assert!(Command::new("kill").args(["-9", &pid.to_string()]).status().unwrap().success());
@@ -147,7 +148,7 @@
 
 #[test]
 fn release_of_nodes_upgrades_them_and_halts_if_a_version_fails_to_start() {
-    let test = start_supervisor("release");
+    let test = start_supervisor("release", free_address());
     let plan = |to: &str| {
         let text = format!(
             "name = \"to-{to}\"\nwhat = \"nodes\"\nfrom = \"one\"\nto = \"{to}\"\nnodes = [\"{}\"]\n[times]\nwarm_s = 0\n\
@@ -181,3 +182,45 @@
     assert_eq!(code, Some(0), "{output}");
     assert_eq!(versions(test.address)["serves"], "two");
 }
+
+/// Answers each call with the list, on connections that end with the answer, until `stop`.
+fn serve_list(listener: TcpListener, list: &str, stop: &AtomicBool) {
+    listener.set_nonblocking(true).unwrap();
+    let deadline = Instant::now() + 2 * TIMEOUT;
+    while !stop.load(Ordering::SeqCst) && Instant::now() < deadline {
+        let Ok((mut stream, _)) = listener.accept() else {
+            std::thread::sleep(Duration::from_millis(2));
+            continue;
+        };
+        stream.set_nonblocking(false).unwrap();
+        let _ = stream.read(&mut [0; 1024]);
+        let head =
+            format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {}\r\n\r\n", list.len());
+        let _ = stream.write_all((head + list).as_bytes());
+    }
+}
+
+/// Guards against an upgrade under a supervisor that forgets what discovery has told the node.
+#[test]
+fn upgraded_node_knows_what_discovery_told_before_its_outage() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let test = start_supervisor("told", listener.local_addr().unwrap());
+    let config = std::fs::read_to_string(test.dir.join("config.json")).unwrap();
+    let config: serde_json::Value = serde_json::from_str(&config).unwrap();
+    let mut targets = config["known"]["targets"].clone();
+    targets[0]["state"] = "draining".into();
+    let list = serde_json::json!({"rev": 2, "all": true, "targets": targets}).to_string();
+    let state = || {
+        let stats = call(test.address, "stats")?;
+        let stats: serde_json::Value = serde_json::from_str(stats.strip_prefix("OK ")?).ok()?;
+        Some(stats["backends"][0]["state"].clone())
+    };
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| serve_list(listener, &list, &stop));
+        wait_until("the node knows of the drain", || state().is_some_and(|state| state == "draining"));
+        stop.store(true, Ordering::SeqCst);
+    });
+    assert!(call(test.address, "upgrade two").unwrap().starts_with("OK two serves"));
+    assert_eq!(state().unwrap(), "draining");
+}
