Split the driver by what it keeps: backend list, cordons, zone checks, clock

Change: the list, the cordons and the zone checks are modules of the driver, and the clock has a file of its own. Code was moved, not changed.

--- a/src/node/driver.rs
+++ b/src/node/driver.rs
@@ -1,16 +1,19 @@
 //! Owns the balancer: turns inputs into events, one at a time, and performs the resulting actions.
 //!
 //! The driver keeps the state that the balancer does not hold: backend addresses, timers, and the open
-//! requests and attempts. It makes no balancing decisions itself.
+//! requests and attempts. It makes no balancing decisions itself. [`backend_list`] keeps the list,
+//! [`cordons`] what operators have taken out of use, and [`zone_checks`] the health checks of zones.
+
+mod backend_list;
+mod cordons;
+mod zone_checks;
+
+pub use cordons::OrderOrigin;
 
 use crate::active_settings::ActiveSettings;
 use crate::body::Upload;
-use crate::durable::Cordon;
-use crate::handover_log::{Line, RecordedStart};
-use crate::initial_list::UNCONFIRMED_FIELD;
-use crate::list_parser::ListContent;
+use crate::clock::Clock;
 use crate::log::{self, log_event};
-use crate::machine_clock::machine_now_ms;
 use crate::order_records::OrderRecords;
 use crate::peers::Peers;
 use crate::process_files::ProcessFiles;
@@ -19,16 +22,14 @@
     AttemptResult, AttemptSpec, BackendResponse, ForwardedRequest, HttpConnection, Upstream,
 };
 use daleturn::Balancer;
-use daleturn::control::operator_orders::{FleetOrder, KnownOrder, OrderVersion};
 use daleturn::control::start_times::StartTimes;
-use daleturn::control::subset::{Catalog, LinePosition, ListUpdate, Subset, SubsetStats, Target};
-use daleturn::control::zones::{ZoneChange, ZoneOrder, Zones};
+use daleturn::control::subset::{Catalog, Subset, Target};
+use daleturn::control::zones::Zones;
 use daleturn::interface::{
     Action, AttemptEnded, BackendId, BackendSnapshot, Event, Health, ListEntry, ListKind, LogNote, Memory,
     Observation, Outcome, Reporting, Request, RequestId, Settings, SharedUpdate,
 };
 use daleturn::options::Options;
-use daleturn::wire::stable_hash;
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -36,56 +37,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use thiserror::Error;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-/// Clock of the balancer: milliseconds since 1970, read from the system clock once at startup and advanced
-/// by the monotonic clock from there. Wall-clock times received from discovery can be compared with it, and
-/// a given instant always converts to the same value.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    start_ms: f64,
-    /// Start on the machine's monotonic clock, in milliseconds.
-    machine_start_ms: f64,
-}
-
-impl Clock {
-    /// Starts the clock at the current system time.
-    pub fn new() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let machine_start_ms = machine_now_ms();
-        Clock { start: Instant::now(), start_ms: wall.as_secs_f64() * 1000.0, machine_start_ms }
-    }
-
-    /// Converts a time of this clock to one on the machine's monotonic clock.
-    pub fn to_machine_ms(self, at_ms: f64) -> f64 {
-        at_ms - self.start_ms + self.machine_start_ms
-    }
-
-    /// Converts a time on the machine's monotonic clock to one of this clock.
-    pub fn at_machine_ms(self, machine_ms: f64) -> f64 {
-        machine_ms - self.machine_start_ms + self.start_ms
-    }
-
-    /// Returns the current time in milliseconds since 1970.
-    pub fn now_ms(&self) -> f64 {
-        self.at_ms(Instant::now())
-    }
-
-    /// Converts an instant after the start to milliseconds since 1970.
-    pub fn at_ms(&self, at: Instant) -> f64 {
-        self.start_ms + at.saturating_duration_since(self.start).as_secs_f64() * 1000.0
-    }
-
-    /// Converts milliseconds since 1970 to an instant.
-    fn instant(&self, at_ms: f64) -> Instant {
-        self.start + Duration::from_secs_f64(((at_ms - self.start_ms) / 1000.0).clamp(0.0, 1e9))
-    }
-}
-
 /// Final answer to a client's request.
 #[derive(Debug)]
 pub enum Answer {
@@ -320,26 +275,6 @@
     entry.ready_at_ms.max(0.0) as u64 as u32
 }
 
-/// Error of a call that cordons or uncordons a backend.
-#[derive(Debug, Error)]
-pub enum CordonError {
-    /// The backend is neither listed nor cordoned.
-    #[error("no backend {0:?} is known")]
-    Unknown(String),
-    /// The change could not be stored, so it would not survive this process.
-    #[error("nothing changed, it cannot be stored: {0}")]
-    Unstored(#[from] std::io::Error),
-}
-
-/// Who gave an order on a backend, and what this node knew then.
-#[derive(Clone, Copy, Debug)]
-pub struct OrderOrigin {
-    /// True for a release controller, false for an operator.
-    pub is_release: bool,
-    /// Latest order of the fleet on this backend that this node has heard of.
-    pub version: Option<OrderVersion>,
-}
-
 /// Address of a backend that is or was up, with the state for which it was listed.
 struct BackendAddress {
     address: SocketAddr,
@@ -350,8 +285,6 @@
 
 /// Maximum length of a client's header value in the log.
 const MAX_LOGGED_HEADER_BYTES: usize = 64;
-/// Maximum number of backends named in one log event; the event also carries the total count.
-const MAX_NAMES_PER_EVENT: usize = 8;
 
 /// State that is borrowed while an input is handled.
 struct Core {
@@ -375,9 +308,6 @@
     follow_ups: VecDeque<Input>,
 }
 
-/// Factor by which a warm backend's assumed capacity exceeds the rate it was recently seen to serve.
-const WARM_HEADROOM: f64 = 1.5;
-
 /// Receives an observation and the start ID of its backend.
 type ObservationSink = Box<dyn Fn(Observation, u32)>;
 
@@ -480,91 +410,6 @@
         self.core.borrow().open_requests.len()
     }
 
-    /// Sets the version of the known list.
-    pub fn set_list_version(&self, version: Option<u64>) {
-        self.list_version.set(version);
-    }
-
-    /// Records that a discovery response has been applied completely.
-    pub fn list_received(&self) {
-        let core = &mut *self.core.borrow_mut();
-        core.start_times.list_received(self.clock.now_ms());
-        core.start_times.trim(|backend| core.subset.is_listed(backend));
-    }
-
-    /// Returns up to `count` lines of the list after a position, for another process of this node that gets
-    /// the names of `zones` zones.
-    pub fn lines_to_hand_over(
-        &self,
-        position: Option<LinePosition>,
-        count: usize,
-        zones: usize,
-    ) -> Vec<(LinePosition, Line)> {
-        let core = self.core.borrow();
-        let lines = core.subset.lines_after(position, count).into_iter();
-        lines.map(|(at, target)| (at, self.line_of(&core, target, zones))).collect()
-    }
-
-    /// Returns the lines of these backends for another process of this node.
-    pub fn lines_of(&self, targets: &[Target], zones: usize) -> Vec<Line> {
-        let core = self.core.borrow();
-        targets.iter().map(|target| self.line_of(&core, target, zones)).collect()
-    }
-
-    fn line_of(&self, core: &Core, target: &Target, zones: usize) -> Line {
-        let ListEntry { backend, ready_at_ms, .. } = target.entry;
-        let local_start_ms = core.start_times.recorded_start_ms(backend, ready_at_ms);
-        Line::new(target, zones, local_start_ms.map(|at_ms| self.clock.to_machine_ms(at_ms)))
-    }
-
-    /// Returns the statistics of the list and of this node's part of it.
-    pub fn subset_stats(&self) -> SubsetStats {
-        self.core.borrow().subset.stats()
-    }
-
-    /// Returns the zone in which a backend is listed.
-    pub fn listed_zone(&self, id: BackendId) -> Option<u16> {
-        self.core.borrow().subset.line(id).map(|line| line.entry.zone)
-    }
-
-    /// Restores start times that another process of this node has recorded. It received its last list at
-    /// `received_ms` on the machine's monotonic clock.
-    pub fn restore_starts(&self, starts: &[RecordedStart], received_ms: f64) {
-        let core = &mut *self.core.borrow_mut();
-        for start in starts {
-            let local_ms = self.clock.at_machine_ms(start.started_ms);
-            core.start_times.restore(start.backend, start.reported_ms, local_ms);
-        }
-        core.start_times.list_received(self.clock.at_machine_ms(received_ms));
-    }
-
-    /// Counts a list that exceeded the size limit.
-    pub fn count_oversized_list(&self) {
-        self.oversized_lists.set(self.oversized_lists.get() + 1);
-    }
-
-    /// Counts a discovery response to a call that had timed out or been replaced.
-    pub fn count_late_response(&self) {
-        self.late_responses.set(self.late_responses.get() + 1);
-    }
-
-    /// Returns the entries of a response that remove backends. With `omissions`, a full list also removes
-    /// the backends that it does not contain.
-    pub fn departures(&self, content: &ListContent, omissions: bool) -> Vec<Target> {
-        let core = self.core.borrow();
-        match content {
-            ListContent::Entries(lines) => core.subset.departures(lines, omissions),
-            ListContent::Catalog(catalog, _) => core.subset.departures(catalog.lines(), omissions),
-            ListContent::Unchanged => Vec::new(),
-        }
-    }
-
-    /// True if any of these backends is not yet known to have left.
-    pub fn any_may_be_up(&self, departures: &[Target]) -> bool {
-        let core = self.core.borrow();
-        departures.iter().any(|line| core.subset.may_be_up(line.entry.backend))
-    }
-
     /// Sets the length of the statistics window.
     pub fn set_stats_window(&self, window: Duration) {
         self.core.borrow_mut().stats.set_window(window);
@@ -663,36 +508,11 @@
         self.core.borrow().addresses.values().any(|p| p.is_up)
     }
 
-    /// True if a backend list is known.
-    pub fn has_list(&self) -> bool {
-        !self.core.borrow().listed.is_empty()
-    }
-
     /// True once a response of discovery has been applied or, in on-request mode, a call has failed.
     pub fn has_discovery_responded(&self) -> bool {
         self.discovery_responded.get()
     }
 
-    /// Replaces the set of cordoned backends with one that another process of this node may have stored.
-    pub fn set_cordons(self: &Rc<Self>, cordoned: BTreeMap<BackendId, String>) {
-        let changes: Vec<String> = {
-            let known = &self.core.borrow().cordoned;
-            let out = cordoned
-                .iter()
-                .filter(|(id, _)| !known.contains_key(id))
-                .map(|(_, u)| format!("{u} is out"));
-            let back = known
-                .iter()
-                .filter(|(id, _)| !cordoned.contains_key(id))
-                .map(|(_, u)| format!("{u} is back"));
-            out.chain(back).collect()
-        };
-        if !changes.is_empty() {
-            log_event!(INFO, "upgrade", changes = changes.join(", ").as_str(), "upgrade.operators_word");
-            self.handle(Input::Cordons(cordoned));
-        }
-    }
-
     /// Sets the receiver of shared observations; each comes with the start ID of its backend. The receiver
     /// is called while an event is handled and must not call back into the driver.
     pub fn set_observation_sink(&self, sink: impl Fn(Observation, u32) + 'static) {
@@ -714,116 +534,6 @@
         found.map(|(id, _)| *id)
     }
 
-    /// Applies an order for the whole fleet that another node received, whether or not the backend is listed,
-    /// unless this node knows a later order.
-    pub fn apply_fleet_order(self: &Rc<Self>, uid: &str, order: FleetOrder) {
-        let (out, is_release) = (order.cordoned, false);
-        if let Some(known) = self.latest_order(uid).filter(|known| !order.supersedes(known)) {
-            log_event!(INFO, "share", backend = uid, out, held = known.cordoned, "share.order_outdated");
-            return;
-        }
-        let FleetOrder { cordoned, given_ms, version } = order;
-        self.order_records
-            .record(uid, KnownOrder { cordoned, given_ms, version: Some(version), is_release });
-        let stored = if out { self.process_files.cordon(uid) } else { self.process_files.uncordon(uid) };
-        let stored = stored.err().map(|e| e.to_string());
-        log_event!(INFO, "share", backend = uid, out, ?stored, "share.operators_word");
-        self.set_cordoned(uid, out);
-    }
-
-    /// Returns the latest order on a backend that this node has carried out.
-    pub fn latest_order(&self, uid: &str) -> Option<KnownOrder> {
-        let id = BackendId(stable_hash(uid));
-        let cordoned = self.core.borrow().cordoned.contains_key(&id);
-        self.order_records.latest(uid, cordoned)
-    }
-
-    /// Records the version that an order of this node got in the fleet.
-    pub fn record_order_version(&self, uid: &str, version: Option<OrderVersion>) {
-        if let Some(order) = self.latest_order(uid) {
-            self.order_records.record(uid, KnownOrder { version, ..order });
-        }
-    }
-
-    /// Takes a backend out of use or puts it back.
-    fn set_cordoned(self: &Rc<Self>, uid: &str, out: bool) {
-        let mut cordoned = self.core.borrow().cordoned.clone();
-        let id = BackendId(stable_hash(uid));
-        if out {
-            cordoned.insert(id, uid.to_owned());
-        } else {
-            cordoned.remove(&id);
-        }
-        self.handle(Input::Cordons(cordoned));
-    }
-
-    /// Enables zone health checks.
-    pub fn enable_zone_checks(&self, home_zone: Option<u16>, cold_ms: f64) {
-        self.core.borrow_mut().zones = Some(Zones::new(self.clock.now_ms(), home_zone, cold_ms));
-    }
-
-    /// Updates the zone health checks and returns the zones that changed. `peer_reports` returns how
-    /// many other nodes report a zone as lost; `others` is true if any other node is reachable.
-    pub fn update_zones(&self, others: bool, peer_reports: impl Fn(u16) -> usize) -> Vec<ZoneChange> {
-        let core = &mut *self.core.borrow_mut();
-        let Some(zones) = &mut core.zones else { return Vec::new() };
-        let mut up = BTreeMap::new();
-        for target in core.listed.values() {
-            let is_up =
-                target.entry.health == Health::Up && !core.cordoned.contains_key(&target.entry.backend);
-            *up.entry(target.entry.zone).or_insert(0_usize) += usize::from(is_up);
-        }
-        let now = self.clock.now_ms();
-        let mut tripped = BTreeMap::new();
-        for b in core.balancer.snapshot(now).backends.iter().filter(|b| b.up && b.trial_at_ms.is_some()) {
-            *tripped.entry(b.zone).or_insert(0_usize) += 1;
-        }
-        zones.set_servers(now, &up, &tripped);
-        up.keys().for_each(|zone| zones.set_peer_reports(*zone, peer_reports(*zone)));
-        zones.tick(now, others)
-    }
-
-    /// Applies or revokes an operator's order on a zone. Returns false if the zone is unknown.
-    pub fn order_zone(&self, zone: u16, order: Option<ZoneOrder>) -> bool {
-        let now = self.clock.now_ms();
-        self.core.borrow_mut().zones.as_mut().is_some_and(|z| z.apply_order(now, zone, order))
-    }
-
-    /// Returns the state of all zones, or `None` if zone health checks are disabled.
-    pub fn zone_states(&self) -> Option<Vec<daleturn::control::zones::ZoneStats>> {
-        self.core.borrow().zones.as_ref().map(Zones::stats)
-    }
-
-    /// True if this node, rather than the zones, appears to be cut off from the network.
-    pub fn is_isolated(&self) -> bool {
-        self.core.borrow().zones.as_ref().is_some_and(Zones::is_isolated)
-    }
-
-    /// Checks whether the remaining backends can serve the current load without a zone.
-    ///
-    /// # Errors
-    /// Returns the figures as text if the known capacity of the remaining backends does not suffice.
-    pub fn check_without_zone(&self, zone: u16) -> Result<(), String> {
-        let core = self.core.borrow();
-        let snapshot = core.balancer.snapshot(self.clock.now_ms());
-        let left_out = |b: &BackendSnapshot| {
-            let zones = core.zones.as_ref().map(Zones::stats).unwrap_or_default();
-            b.zone == zone || zones.iter().any(|z| z.zone == b.zone && matches!(z.state, "out" | "held"))
-        };
-        let left =
-            snapshot.backends.iter().filter(|b| b.up && b.trial_at_ms.is_none() && !left_out(b)).count();
-        let asked = core.request_counts.1.iter().copied().max().unwrap_or(0);
-        let per_backend = snapshot.warm_rate * WARM_HEADROOM;
-        if left > 0 && f64::from(asked) <= per_backend * left as f64 {
-            return Ok(());
-        }
-        Err(format!(
-            "nothing changed: {left} backends would be left, known to serve {:.0} a second for this node, and {asked} are \
-             asked; --force does it all the same",
-            per_backend * left as f64
-        ))
-    }
-
     /// Returns the state that the balancer has learned.
     pub fn memory(&self) -> Memory {
         self.core.borrow().balancer.memory()
@@ -834,92 +544,6 @@
         self.handle(Input::Memory(Box::new(memory)));
     }
 
-    /// True if a cordon survives this process.
-    pub fn can_store(&self) -> bool {
-        self.process_files.can_store()
-    }
-
-    /// Adds cordons stored before this start.
-    pub fn restore_cordons(self: &Rc<Self>, stored: &BTreeMap<String, Cordon>) {
-        let mut cordoned = self.core.borrow().cordoned.clone();
-        cordoned.extend(stored.keys().map(|uid| (BackendId(stable_hash(uid)), uid.clone())));
-        self.handle(Input::Cordons(cordoned));
-        for (uid, cordon) in stored {
-            let is_recorded = self.latest_order(uid).is_some_and(|order| order.version.is_some());
-            if !is_recorded {
-                let (given_ms, is_release) = (cordon.since_ms as f64, cordon.is_release);
-                let order = KnownOrder { cordoned: true, given_ms, version: None, is_release };
-                self.order_records.record(uid, order);
-            }
-        }
-    }
-
-    /// Returns the IDs of all cordoned backends.
-    pub fn cordoned_backends(&self) -> Vec<String> {
-        self.core.borrow().cordoned.values().cloned().collect()
-    }
-
-    /// Checks that a backend is listed or cordoned.
-    ///
-    /// # Errors
-    /// Returns [`CordonError::Unknown`] if it is neither.
-    pub fn check_known(&self, uid: &str) -> Result<(), CordonError> {
-        self.find_known(uid).map(drop)
-    }
-
-    /// Returns the known list, or this node's part of a long one, as discovery's JSON. `version` is that of
-    /// the last response that it contains as a whole.
-    pub fn list_json(&self, active: &ActiveSettings, version: Option<u64>) -> String {
-        let core = self.core.borrow();
-        let targets: Vec<Value> = (core.listed.values())
-            .map(|t| {
-                let (e, endpoint) = (&t.entry, t.address.map(|a| a.to_string()));
-                json!({"uid": &*t.uid, "endpoint": endpoint, "az": active.names.zone_name(e.zone),
-                       "pod_group": e.cell, "state": health_name(e.health), "capacity_hint": e.units,
-                       "boot_ms": e.ready_at_ms})
-            })
-            .collect();
-        // A partial list must not be used as the base of incremental changes.
-        let is_unconfirmed = self.list_version.get().is_none();
-        let all = !core.subset.is_truncated() && !is_unconfirmed;
-        json!({"rev": version.unwrap_or(0), "all": all, UNCONFIRMED_FIELD: is_unconfirmed, "targets": targets})
-            .to_string()
-    }
-
-    /// Cordons a backend: the balancer treats it as draining, whatever its listed state.
-    pub fn cordon(self: &Rc<Self>, uid: &str, origin: OrderOrigin) -> Result<String, CordonError> {
-        self.find_known(uid)?;
-        self.record_order(uid, true, origin);
-        self.process_files.cordon(uid)?;
-        self.set_cordoned(uid, true);
-        Ok(format!("{uid} is out"))
-    }
-
-    /// Uncordons a backend: its listed state applies again.
-    pub fn uncordon(self: &Rc<Self>, uid: &str, origin: OrderOrigin) -> Result<String, CordonError> {
-        let id = self.find_known(uid)?;
-        self.record_order(uid, false, origin);
-        self.process_files.uncordon(uid)?;
-        let was_out = self.core.borrow().cordoned.contains_key(&id);
-        self.set_cordoned(uid, false);
-        Ok(format!("{uid} {}", if was_out { "is back" } else { "was not out" }))
-    }
-
-    /// Records an order that this node receives.
-    fn record_order(&self, uid: &str, cordoned: bool, origin: OrderOrigin) {
-        let OrderOrigin { is_release, version } = origin;
-        let given_ms = self.clock.now_ms();
-        self.order_records.record(uid, KnownOrder { cordoned, given_ms, version, is_release });
-    }
-
-    /// Returns the ID of a backend that is listed or cordoned.
-    fn find_known(&self, uid: &str) -> Result<BackendId, CordonError> {
-        let id = BackendId(stable_hash(uid));
-        let core = self.core.borrow();
-        let known = core.subset.is_listed(id) || core.cordoned.contains_key(&id);
-        if known { Ok(id) } else { Err(CordonError::Unknown(uid.to_owned())) }
-    }
-
     /// Applies new settings.
     pub fn apply_settings(self: &Rc<Self>, active: &ActiveSettings) {
         self.probe_path.set(probe_path(&active.settings));
@@ -1249,129 +873,4 @@
             self.open_requests.remove(&id);
         }
     }
-
-    /// Applies a list update to the part of the list that this node uses.
-    fn apply_list_update(&mut self, now: f64, update: ListUpdate, upstream: &Upstream) -> Event {
-        let ListUpdate { kind, lines, previous } = update;
-        if let Some(previous) = previous {
-            // Dropping a long list takes time, so it happens on a blocking thread.
-            drop(tokio::task::spawn_blocking(move || drop(previous)));
-        }
-        self.update_listed(kind, &lines);
-        self.update_nodes_per_backend();
-        self.list_event(now, kind, lines, upstream)
-    }
-
-    /// Updates the number of nodes per backend, by which the balancer divides each backend's capacity. A
-    /// change of at most an eighth is ignored, since new settings for every backend that comes or goes
-    /// would be too frequent.
-    fn update_nodes_per_backend(&mut self) {
-        let settings = self.balancer.settings();
-        let now = self.subset.nodes_per_backend(settings.instances);
-        let same = match (now, settings.held_by) {
-            (Some(now), Some(known)) => now.abs_diff(known) * 8 <= known,
-            (now, known) => now == known,
-        };
-        if !same {
-            let stats = self.subset.stats();
-            let (listed, held, held_by) = (stats.listed, stats.held, now.unwrap_or(settings.instances));
-            log_event!(INFO, "list", listed, held, held_by, "list.subset");
-            self.follow_ups.push_back(Input::Settings(Box::new(settings.clone())));
-        }
-    }
-
-    /// Updates the listed backends and drops the statistics of those that are no longer listed.
-    fn update_listed(&mut self, kind: ListKind, targets: &[Target]) {
-        if matches!(kind, ListKind::Full | ListKind::Saved) {
-            self.listed.clear();
-        }
-        for target in targets {
-            if target.entry.health == Health::Gone {
-                self.listed.remove(&target.entry.backend);
-            } else {
-                self.listed.insert(target.entry.backend, target.clone());
-            }
-        }
-        let listed = &self.listed;
-        self.stats.retain_listed(|id| listed.contains_key(&id));
-    }
-
-    /// Converts list entries to an event. Cordoned backends are passed on as draining.
-    fn list_event(
-        &mut self,
-        now: f64,
-        kind: ListKind,
-        mut targets: Vec<Target>,
-        upstream: &Upstream,
-    ) -> Event {
-        for Target { entry, .. } in &mut targets {
-            if entry.health == Health::Up && self.cordoned.contains_key(&entry.backend) {
-                entry.health = Health::Draining;
-            }
-        }
-        self.update_addresses(kind, &targets, upstream);
-        let entries = targets.into_iter().map(|target| {
-            let entry = target.entry;
-            ListEntry {
-                ready_at_ms: self.start_times.local_start_ms(now, entry.backend, entry.ready_at_ms),
-                ..entry
-            }
-        });
-        Event::List { kind, entries: entries.collect() }
-    }
-
-    /// Updates the addresses of backends and closes idle connections that became useless.
-    fn update_addresses(&mut self, kind: ListKind, targets: &[Target], upstream: &Upstream) {
-        if matches!(kind, ListKind::Full | ListKind::Saved) {
-            // Backends that a full list omits have left.
-            for known in self.addresses.values_mut() {
-                known.is_up = false;
-            }
-        }
-        for Target { entry, address, uid } in targets {
-            let is_up = entry.health == Health::Up;
-            match (self.addresses.get_mut(&entry.backend), address) {
-                (Some(known), address) => {
-                    let address = address.unwrap_or(known.address);
-                    if address != known.address || entry.ready_at_ms > known.ready_at_ms {
-                        // Connections to the old process or address are useless.
-                        upstream.close_idle(entry.backend);
-                    }
-                    *known =
-                        BackendAddress { address, is_up, ready_at_ms: entry.ready_at_ms, uid: uid.clone() };
-                }
-                // No address is needed for a backend that is not up.
-                (None, Some(address)) if is_up => {
-                    let known = BackendAddress {
-                        address: *address,
-                        is_up,
-                        ready_at_ms: entry.ready_at_ms,
-                        uid: uid.clone(),
-                    };
-                    self.addresses.insert(entry.backend, known);
-                }
-                (None, _) => {}
-            }
-        }
-        let mut departed = Vec::new();
-        self.addresses.retain(|id, known| {
-            if !known.is_up {
-                upstream.close_idle(*id);
-                departed.push(known.uid.clone());
-            }
-            known.is_up
-        });
-        if !departed.is_empty() {
-            departed.sort();
-            let backends =
-                departed.iter().take(MAX_NAMES_PER_EVENT).map(|uid| &**uid).collect::<Vec<_>>().join(",");
-            log_event!(
-                INFO,
-                "backend",
-                count = departed.len(),
-                backends = backends.as_str(),
-                "backend.left"
-            );
-        }
-    }
 }
--- a/src/node/list_receiver.rs
+++ b/src/node/list_receiver.rs
@@ -3,7 +3,7 @@
 //! is read in pieces, between which other tasks run.
 
 use crate::active_settings::CurrentSettings;
-use crate::driver::Clock;
+use crate::clock::Clock;
 use crate::handover_log::{
     Frame, Header, LineReader, LogError, PREAMBLE_BYTES, RecordedStart, Update, Writer, read_frame,
     read_preamble,
--- a/src/node/process_files.rs
+++ b/src/node/process_files.rs
@@ -4,8 +4,8 @@
 //! Each file is written completely and renamed into place. A file that is missing, truncated or malformed
 //! is ignored.
 
+use crate::clock::machine_now_ms;
 use crate::log::log_event;
-use crate::machine_clock::machine_now_ms;
 use daleturn::interface::{BackendId, BackendMemory, Memory};
 use daleturn::wire::{Names, stable_hash};
 use serde::{Deserialize, Serialize};
