Give the supervisor's tests addresses of their own on the loopback network

The fixture draws ports of 127.0.0.1 and releases them before the programs bind them; another test or a connection can take them in between.

Change: addresses come from a part of the loopback network that only this process uses, as in the node's tests. Nothing asserted changes.

--- a/crates/cli/tests/supervise.rs
+++ b/crates/cli/tests/supervise.rs
@@ -2,11 +2,11 @@
 //! a killed node; and a release of nodes through the supervisor.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -29,8 +29,14 @@
     }
 }
 
+/// Returns an address that nothing listens on, in a part of the loopback network that only this process uses: a port
+/// of 127.0.0.1 may be taken by a connection or by another test before the program under test binds it.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let n = NEXT.fetch_add(1, Ordering::SeqCst);
+    let pid = std::process::id();
+    let ip = Ipv4Addr::new(127, 64 + (pid % 64) as u8, (pid / 64 % 256) as u8, (n % 250 + 1) as u8);
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
 }
 
 fn call(address: SocketAddr, line: &str) -> Option<String> {
@@ -203,7 +209,7 @@
 /// Guards against an upgrade under a supervisor that forgets what discovery has told the node.
 #[test]
 fn upgraded_node_knows_what_discovery_told_before_its_outage() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = TcpListener::bind(free_address()).unwrap();
     let test = start_supervisor("told", listener.local_addr().unwrap());
     let config = std::fs::read_to_string(test.dir.join("config.json")).unwrap();
     let config: serde_json::Value = serde_json::from_str(&config).unwrap();
